A key goes to its second cache only where that is clearly less busy

Cause: one request fewer in flight, or one hit that took long, sent a key to its second cache. Each key was then kept twice, evicted others, and what was missed brought the origin down; from there on nearly all fetches failed.

A report of load still decides ties; a slow hit is none.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -55,6 +55,9 @@
     // Candidates ranked for a key: two, and spares for those that fail, warm up or were tried.
     static final int CHOICES = 2;
     static final int RANKED = 6;
+    // So many fewer in flight are load. One or two are chance: for these a key would go to and fro, be kept
+    // in both its caches, and leave the fleet half its memory.
+    static final int CLEARLY_FEWER = 5;
     // A tie goes to the second candidate if the first reports this much more of its cores busy.
     static final double BUSY_TIE = 0.2;
     static final double BUSY_FADE_US = 10e6;
@@ -218,7 +221,7 @@
         }
     }
 
-    /** Two hashed candidates and the one with fewer of our own requests in flight; ties keep to the first. */
+    /** Two hashed candidates and the one clearly less busy with our own requests; else the first. */
     private Target choose(Open r, long now) {
         long key = r.key != 0 ? r.key : random.next();
         int copies = r.key != 0 ? hotCopies(r.key, now) : 1;
@@ -238,10 +241,10 @@
         return best;
     }
 
-    /** Fewer of our own in flight; with few a proxy most are ties, which reported load decides. */
+    /** Clearly fewer of our own in flight; with few a proxy most are ties, which reported load decides. */
     private static boolean lessBusy(Target t, Target best, long now) {
-        int more = t.inFlight - best.inFlight;
-        return more < 0 || more == 0 && best.busy.get(now) > t.busy.get(now) + BUSY_TIE;
+        int fewer = best.inFlight - t.inFlight;
+        return fewer >= CLEARLY_FEWER || fewer == 0 && best.busy.get(now) > t.busy.get(now) + BUSY_TIE;
     }
 
     /** Hot keys: only a key that alone would overfill its nodes is spread, over as many pairs as it needs. */
@@ -442,8 +445,6 @@
         released(r, attempt, o, now, out);
         if (report.busy >= 0) {
             t.busy.set(report.busy, now);
-        } else if (note == CacheNote.HIT && o == Outcome.OK) {
-            t.busy.set(r.waited(latency), now); // no report: how long a hit took tells
         }
         boolean fromOrigin = fleet.isOrigin(t);
         if (o != Outcome.CANCELLED && o != Outcome.NOT_SENT) {
@@ -586,9 +587,7 @@
                 thrift.add(THRIFT_STEP, THRIFT_MOST, now);
                 closeIdle(slow, out);
             }
-            double waited = r.waited(now - r.arrived);
-            nodeEvidence(slow, true, SOFT * Math.min(1, waited / COPY_SOONEST), now);
-            slow.busy.set(Math.max(slow.busy.get(now), waited), now);
+            nodeEvidence(slow, true, SOFT * Math.min(1, r.waited(now - r.arrived) / COPY_SOONEST), now);
             retry(r, COPY_PRICE, now, out);
         }
     }
