A node is passed over by how far its chance is above the others'

Cause: a node's chance alone decided whether it was passed over. Where all are slow, as in a slowdown that all share or with a slow origin, keys were moved from slow caches to others as slow that did not hold them, and each move was one more fetch from the origin.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -272,11 +272,14 @@
     }
 
     /**
-     * A failing node is passed over with its chance, and still gets trials. The hash draws the lot, so that
-     * proxies move the same keys first and these are kept in one other place.
+     * A node is passed over by how far its chance is above the others', and still gets trials: where all are
+     * slow, moving a key gains nothing and costs a fetch. The hash draws the lot, so that proxies move the
+     * same keys first and these are kept in one other place.
      */
     private boolean passedOver(Target t, long key, long now) {
-        double chance = t.chance.get(now);
+        double own = t.chance.get(now);
+        double others = own > 0 ? fleet.meanChanceBut(t, now) : 0;
+        double chance = (own - others) / (1 - others);
         return chance > 0 && Blue.unit(Blue.mix(key - 31 * Blue.mix(t.id))) < chance;
     }
 
--- a/src/main/java/holdproxy/Fleet.java
+++ b/src/main/java/holdproxy/Fleet.java
@@ -103,6 +103,19 @@
         origins = Arrays.copyOf(found, originCount);
     }
 
+    /** The mean chance of the ready nodes other than this one; 0 where there are none. */
+    double meanChanceBut(Target t, long now) {
+        double sum = 0;
+        int others = 0;
+        for (int i = 0; i < readyCount; i++) {
+            if (ready[i] != t) {
+                sum += ready[i].chance.get(now);
+                others++;
+            }
+        }
+        return others == 0 ? 0 : sum / others;
+    }
+
     /**
      * Weighted rendezvous hashing: the nodes with the lowest of about exp(1)/weight, best first. The array is
      * reused by the next call and ends with null where fewer are ready.
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -249,6 +249,29 @@
         assertTrue(refused > 25, "most load is taken off: " + refused + " of 50");
     }
 
+    /** r6637: a slow origin made every cache slow, keys were moved about, and each move cost it a fetch. */
+    @Test
+    void whereAllNodesAreSlowAlikeKeysStayAtTheirCaches() {
+        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        for (int i = 0; i < 300; i++) {
+            long now = i * 20 * MS;
+            p.onRequest(now, Fixture.request(i, 1 + i, now + S), out);
+            p.onOutcome(now, i, 0, Router.Outcome.OK, 400 * MS, true, Router.CacheNote.HIT, new Router.Report(), out);
+        }
+        Choice calm = new Fixture().choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        int moved = 0;
+        for (int i = 0; i < 50; i++) {
+            Fixture f = new Fixture();
+            Router.Request q = Fixture.request(1000 + i, 2_000_000 + i, 8 * S);
+            q.tenant = 1;
+            calm.onRequest(7 * S, q, f);
+            int home = f.lastNode();
+            p.onRequest(7 * S, q, out);
+            moved += out.lastNode() == home ? 0 : 1;
+        }
+        assertTrue(moved < 15, moved + " of 50 keys moved");
+    }
+
     /** The slow attempt of a copied request ends cancelled: its node would never be blamed. */
     @Test
     void anAttemptStillOutWhenItsCopyIsDueCountsAgainstItsNode() {
