What a node turned away is sent on at the price of a broken connection

Cause: a further attempt after an overload answer, which proves that no node worked, was charged four times what one after a broken connection is. Where nodes turn much away the budget was gone at once, and requests that another node would have served were refused after one attempt.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -72,8 +72,9 @@
     static final double BUDGET_EARN = 0.1;
     static final double BUDGET_MOST = 10;
     static final double BUDGET_FIRST = 1;
-    // After a broken or refused connection no node has worked, or only one that could not answer: such a
-    // further attempt multiplies little, and where one in seven breaks they would spend the whole budget.
+    // After a broken or refused connection no node has worked, or only one that could not answer, and none
+    // where one turned it away: such a further attempt multiplies little, and where one in seven breaks or
+    // half the nodes turn a tenant away they would spend the whole budget.
     static final double BROKEN_PRICE = 0.25;
     // A copy may turn out needless and costs its second cache a miss, so it is dearer than a further attempt.
     static final double COPY_PRICE = 5;
@@ -460,8 +461,8 @@
         } else if (fromOrigin && !r.write) {
             send(r, null, now, out);
         } else {
-            boolean broken = o == Outcome.RESET || o == Outcome.CONNECT_FAILED;
-            retry(r, broken ? BROKEN_PRICE : 1, now, out);
+            boolean unworked = o == Outcome.RESET || o.neverRan;
+            retry(r, unworked ? BROKEN_PRICE : 1, now, out);
         }
     }
 
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -201,6 +201,21 @@
         assertTrue(out.sent.size() - requests <= 2, out.sent.size() + " attempts for " + requests);
     }
 
+    /** No node has worked on it: half the nodes turned one tenant away, and the budget was gone at once. */
+    @Test
+    void whatNodesTurnAwayIsSentOnAsWhereConnectionsBreak() {
+        for (Router.Outcome o : new Router.Outcome[] {Router.Outcome.OVERLOADED, Router.Outcome.CONNECT_FAILED}) {
+            Fixture f = new Fixture();
+            Choice p = f.choice(Fixture.settings(Router.Effect.UNSAFE), 1, Fixture.nodes(8));
+            for (int i = 0; i < 4; i++) {
+                p.onRequest(i * MS, Fixture.request(i, 1 + i, i * MS + S), f);
+                f.outcome(p, i * MS, i, 0, o);
+                f.outcome(p, i * MS, i, 1, Router.Outcome.OK);
+            }
+            assertEquals(8, f.sent.size(), "each of four sent on after " + o);
+        }
+    }
+
     @Test
     void withoutKeyOrTenantAndWithAnEmptyListItStillAnswers() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
