A half answer is given up after half its class's aim, not after 300 ms

Cause: an answer that stopped part-way was held to be coming for 300 ms. A feed is given up after 289 ms, so it was refused at its deadline and never sent to another node; an audio was sent on only after its aim.

Of the whole answers none took 1 ms between its parts, so nothing that is still coming is given up.

Purchases can't be sent twice and still fail.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -10,8 +10,8 @@
 
 /** One connection to a cache node, with the attempts on it in the order of their answers. */
 final class NodeConnection extends SimpleChannelInboundHandler<Answer> {
-    /** Between two reads of one answer; a stalled one was cut short or tells a wrong length. */
-    private static final long STALL_US = 300_000;
+    /** The longest time between two reads of one answer; see {@link #stallUs}. */
+    private static final long MOST_STALL_US = 300_000;
 
     final NodePool pool;
     private final Answer.Decoder decoder;
@@ -146,7 +146,8 @@
         }
         stopStall();
         if (partial && !closed) {
-            stall = pool.pools.after(STALL_US, () -> spoilt("an answer that does not end"));
+            stall = pool.pools.after(line.isEmpty() ? MOST_STALL_US : stallUs(pool.pools.aimUs(line.peek())),
+                () -> spoilt("an answer that does not end"));
         }
         ctx.fireChannelReadComplete();
     }
@@ -176,6 +177,14 @@
         }
     }
 
+    /**
+     * An answer that stalls was cut short or tells a wrong length. That has to be seen while another node's
+     * answer can still be in time: at the latest when half of the request's aim has passed.
+     */
+    static long stallUs(long aimUs) {
+        return Math.min(MOST_STALL_US, aimUs / 2);
+    }
+
     /** Whether an answer is of the kind and bears the id of the attempt that is due one. */
     private static boolean fits(Answer answer, Attempt a) {
         Command c = a.exchange.command;
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -1,5 +1,6 @@
 package holdproxy.net;
 
+import holdproxy.Router;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -23,6 +24,7 @@
     final Proxy proxy;
     final Log log;
     final int streams;
+    private final Router.RequestClass[] classes;
     final long idleUs;
     private final int most;
     private final EventLoop loop;
@@ -36,6 +38,7 @@
         this.log = log;
         this.most = most;
         this.loop = loop;
+        classes = config.settings.classes;
         // an attempt given up on a shared connection stays out: where no second copy may be, none is shared
         streams = config.settings.secondCopies ? config.settings.streamsPerConnection : 1;
         idleUs = config.settings.idleCloseUs - config.settings.idleCloseUs / IDLE_SHARE;
@@ -73,6 +76,10 @@
         return byId.get(id);
     }
 
+    long aimUs(Attempt a) {
+        return classes[a.exchange.command.requestClass].aimUs;
+    }
+
     Future<?> after(long us, Runnable task) {
         return loop.schedule(task, us, TimeUnit.MICROSECONDS);
     }
--- a/src/test/java/holdproxy/net/SpoiltAnswersTest.java
+++ b/src/test/java/holdproxy/net/SpoiltAnswersTest.java
@@ -50,6 +50,15 @@
         }
     }
 
+    /** r9722: a feed is given up after 289 ms, and its half answer was held to be coming for 300. */
+    @Test
+    void anAnswerThatStallsIsGivenUpWhileAnotherCanStillBeInTime() {
+        for (long aimUs : new long[] {20_000, 80_000, 190_000, 300_000}) {
+            assertEquals(aimUs / 2, NodeConnection.stallUs(aimUs));
+        }
+        assertEquals(300_000, NodeConnection.stallUs(5_000_000), "a link that drops a packet is no reason to wait longer");
+    }
+
     @Test
     void aSecondCopyRightBehindAnAnswerEndsItsConnection() throws Exception {
         isNotUsedAgain("VA 1 Oa1\r\n1\r\n");
