A silent watch is given up after 3 s and asked for again within a second

Ruled out: attempts that wait for a dial (at most 0.25 s), and a late first list (one node in six). To blame: Discovery.SILENCE_MS, and Choice.onNodes backing off for a watch that had told something.

A call that fails still backs off as before.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -94,6 +94,9 @@
     static final double ASK_SPREAD = 0.8;
     static final double ASK_US_PER_ROUTER = 400_000;
     static final long ASK_RETRY_US = 2_000_000;
+    // A watch that had told something and ends is asked for again within this time: what it misses counts as
+    // told 6 s after it fell silent, of which finding that out takes half.
+    static final long ASK_AGAIN_US = 1_000_000;
     static final long REPORT_EVERY_US = 20_000_000;
     static final String REPORT = "%s: origin chance %.2f, failures running %.0f, list calls failed %d";
     static final int ATTEMPTS_MOST = 8;
@@ -125,6 +128,8 @@
     private final Fading originChance = new Fading(NODE_FADE_US);
     private final Fading thrift = new Fading(THRIFT_FADE_US);
     private boolean subscribed;
+    /** The watch that was subscribed to has told something. */
+    private boolean watched;
     private int askFailures;
 
     public Choice(Settings settings, long seed, long nowUs, Actions out) {
@@ -155,10 +160,13 @@
         if (kind == ListKind.FAILED) {
             subscribed = false;
             report(now, "node list call failed", out);
-            double wait = ASK_RETRY_US * (1L << Math.min(askFailures++, 2)) * (0.5 + random.unit());
+            double wait = watched ? ASK_AGAIN_US * random.unit()
+                    : ASK_RETRY_US * (1L << Math.min(askFailures++, 2)) * (0.5 + random.unit());
+            watched = false;
             out.timer((long) wait, TIMER_ASK);
             return;
         }
+        watched = subscribed && kind != ListKind.CACHED;
         askFailures = 0;
         fleet.apply(kind, nodes, count);
     }
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -42,11 +42,13 @@
 final class Discovery {
     private static final String PATH = "/registry/instances";
     private static final int LONGEST_LINE = 1 << 20;
+    /** How long a call may wait for its first word. */
+    private static final int FIRST_WORD_MS = 4000;
     /**
      * An empty line comes every 2 s; a cut-off machine says nothing at all. Changes count as told 6 s after
-     * they were to be said, so a silent watch must be given up and asked for again within that time.
+     * the watch fell silent: by then it must be given up and asked for again, and the answer be here.
      */
-    private static final int SILENCE_MS = 4000;
+    private static final int SILENCE_MS = 3000;
     private static final int CONNECT_MS = 2000;
     /**
      * A new service has 4 s from SIGHUP until all it has to tell counts as told. The module's own pause after
@@ -95,11 +97,11 @@
         if (moving() || watch != null) {
             return; // one watch is enough, also one just begun at a new service: each call costs list lines
         }
-        watch = new Call(PATH + "?stream=1&index=" + version, true, SILENCE_MS);
+        watch = new Call(PATH + "?stream=1&index=" + version, true, FIRST_WORD_MS);
     }
 
     void fetch() {
-        new Call(PATH, false, SILENCE_MS);
+        new Call(PATH, false, FIRST_WORD_MS);
     }
 
     /**
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -253,6 +253,25 @@
         assertTrue(out.timers.isEmpty(), "subscribed: nothing more to ask");
     }
 
+    /** Danger: what a broken watch misses counts as told while the module still waits to ask again. */
+    @Test
+    void aWatchThatHadToldSomethingIsAskedForAgainWithinASecondAndBacksOffOnlyThen() {
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.askForNodes = true;
+        for (int seed = 0; seed < 50; seed++) {
+            Fixture f = new Fixture();
+            Choice p = f.choice(s, seed * 7919, Fixture.nodes(2));
+            f.fire(p, 8 * S);
+            p.onNodes(9 * S, Router.ListKind.FULL, Fixture.nodes(2), 2, f);
+            p.onNodes(10 * S, Router.ListKind.FAILED, new Router.Node[0], 0, f);
+            assertTrue(f.timers.get(0)[0] <= S, "asked again after " + f.timers.get(0)[0]);
+            f.fire(p, 11 * S);
+            assertEquals(2, f.subscribes);
+            p.onNodes(12 * S, Router.ListKind.FAILED, new Router.Node[0], 0, f);
+            assertTrue(f.timers.get(0)[0] >= S, "the call failed: not again at once");
+        }
+    }
+
     /** Incidents i82db3d, icf0b68, i15b002: choked nodes heal only when most load is taken off; 22 without. */
     @Test
     void failuresRunningWithoutASuccessBringRefusalsWithinAFewRequestsEvenBelowQuota() {
--- a/src/test/java/holdproxy/net/DiscoveryTest.java
+++ b/src/test/java/holdproxy/net/DiscoveryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -116,4 +117,20 @@
             assertEquals("GET /registry/instances?stream=1&index=1 HTTP/1.1", callLine(f.discovery.next()));
         }
     }
+
+    /**
+     * Danger: what a silent watch misses counts as told 6 s after it fell silent. Given up after 4 s and asked
+     * for again 1 s to 3 s later, a drain that began meanwhile was not known in time.
+     */
+    @Test
+    void aWatchThatFallsSilentIsOpenedAnewWellWithinSixSeconds() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer watch = f.watch();
+            Fixture.chunk(watch, Fixture.list(2, true, f.entry(0, "SERVING")));
+            long silentFrom = System.nanoTime();
+            assertEquals("GET /registry/instances?stream=1&index=2 HTTP/1.1", callLine(f.discovery.next()));
+            long ms = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silentFrom);
+            assertTrue(ms < 4800, "asked again after " + ms + " ms");
+        }
+    }
 }
