Lists are read object by object, also indented; only whole words keep a watch

Read from the source and confirmed by tests on real connections that fail without this: a watch was parsed line by line, so an indented list was no JSON and each watch ended at its first list; and any byte restarted the silence clock, so a list that never ends kept a dead watch for good. To blame: Discovery.Call.content and list, and the ReadTimeoutHandler.

Lists are cut by Netty's JsonObjectDecoder. The clock starts anew at an empty line between lists, at the beginning of a list and at its end. A watch that opens with nothing changed is told to the module as such, and a single list's answer without a list as failed: each call owes one event.

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -21,10 +21,9 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -41,7 +40,7 @@
  */
 final class Discovery {
     private static final String PATH = "/registry/instances";
-    private static final int LONGEST_LINE = 1 << 20;
+    private static final int LONGEST_LIST = 1 << 20;
     /** How long a call may wait for its first word. */
     private static final int FIRST_WORD_MS = 4000;
     /**
@@ -119,10 +118,6 @@
         callSuccessor();
     }
 
-    private static ReadTimeoutHandler silence(int ms) {
-        return new ReadTimeoutHandler(ms, TimeUnit.MILLISECONDS);
-    }
-
     private boolean moving() {
         return successor != null || moveRetry != null;
     }
@@ -155,7 +150,6 @@
     private void taken(Call call) {
         Call old = watch;
         watch = call;
-        call.channel.pipeline().replace(ReadTimeoutHandler.class, null, silence(SILENCE_MS));
         successor = null;
         if (old != null) {
             old.silently();
@@ -246,24 +240,39 @@
         numbers.remove(names.remove(number));
     }
 
+    /** Cuts what comes into lists, one JSON object each, on one line or indented over many. */
+    private static final class ListDecoder extends JsonObjectDecoder {
+        ListDecoder() {
+            super(LONGEST_LIST);
+        }
+
+        /** Whether a list has begun to come and has not ended. */
+        boolean partial() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
     /** One request to discovery: a watch or a single list. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final boolean stream;
         private final InetSocketAddress at = address;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final ListDecoder lists = new ListDecoder();
         private Channel channel;
+        private Future<?> silence;
+        private boolean told;
         private boolean over;
 
         Call(String path, boolean stream, int firstWordMs) {
             this.stream = stream;
             Call call = this;
+            silentFor(firstWordMs);
             new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         channel = ch;
-                        ch.pipeline().addLast(silence(firstWordMs), new HttpClientCodec(), call);
+                        ch.pipeline().addLast(new HttpClientCodec(), call, lists, new Lists(call));
                     }
                 })
                 .connect(at).addListener((ChannelFutureListener) f -> {
@@ -279,8 +288,21 @@
                 });
         }
 
+        /**
+         * The call is given up after so long. Only a whole list or an empty line between lists is a word of
+         * the service: were it any byte, a list that never ends would keep a dead watch.
+         */
+        private void silentFor(int ms) {
+            if (silence != null) {
+                silence.cancel(false);
+            }
+            Runnable giveUp = () -> failed("nothing said for " + ms + " ms");
+            silence = loop.schedule(giveUp, ms, TimeUnit.MILLISECONDS);
+        }
+
         void silently() {
             over = true;
+            silence.cancel(false);
             if (channel != null) {
                 channel.close();
             }
@@ -319,36 +341,34 @@
                 return;
             }
             if (message instanceof HttpContent c) {
-                content(c.content());
+                content(ctx, c.content());
                 if (c instanceof LastHttpContent && !over) {
-                    list();
                     if (stream) {
                         failed("the watch has ended");
-                    } else {
+                    } else if (told) {
                         silently();
+                    } else {
+                        failed("an answer without a list");
                     }
                 }
             }
         }
 
-        private void content(ByteBuf bytes) {
-            while (bytes.isReadable() && !over) {
-                byte b = bytes.readByte();
-                if (b == '\n' && stream) {
-                    list();
-                } else {
-                    line.write(b);
-                    if (line.size() > LONGEST_LINE) {
-                        failed("a list too long");
-                    }
+        private void content(ChannelHandlerContext ctx, ByteBuf bytes) {
+            boolean lineEnds = bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) '\n') >= 0;
+            boolean between = !lists.partial();
+            ctx.fireChannelRead(bytes.retain());
+            if (!over && stream && (lineEnds && !lists.partial() || between && lists.partial())) {
+                silentFor(SILENCE_MS);
+                if (!told && this != successor && lineEnds && !lists.partial()) {
+                    told = true; // the watch is open, and nothing has changed
+                    proxy.nodes(Router.ListKind.DELTA, List.of());
                 }
             }
         }
 
-        private void list() {
-            String text = line.toString(StandardCharsets.UTF_8).strip();
-            line.reset();
-            if (text.isEmpty()) {
+        void list(String text) {
+            if (over) {
                 return;
             }
             Map<String, Object> list = Config.parse(text);
@@ -364,8 +384,12 @@
                             + entries.size() + " nodes");
                     taken(this);
                 }
+                told = true;
                 version = newVersion;
                 proxy.nodes(full ? Router.ListKind.FULL : Router.ListKind.DELTA, entries);
+                if (stream) {
+                    silentFor(SILENCE_MS);
+                }
             } catch (BadInput e) {
                 failed("a list is skipped: " + e.getMessage());
             }
@@ -381,4 +405,23 @@
             failed(cause.getClass().getSimpleName());
         }
     }
+
+    /** Hands whole lists back to their call. */
+    private static final class Lists extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Call call;
+
+        Lists(Call call) {
+            this.call = call;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf list) {
+            call.list(list.toString(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            call.failed("a list is skipped: not JSON, or too long");
+        }
+    }
 }
--- a/src/test/java/holdproxy/net/DiscoveryTest.java
+++ b/src/test/java/holdproxy/net/DiscoveryTest.java
@@ -133,4 +133,46 @@
             assertTrue(ms < 4800, "asked again after " + ms + " ms");
         }
     }
+
+    /** Danger: read line by line, an indented list is no JSON, and each watch ends at its first list. */
+    @Test
+    void anIndentedListIsTakenAlsoWhereItComesInPieces() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            f.nodes.add(new Peer.Listener());
+            Peer client = f.client();
+            Peer old = serve(f, client, "a1", 0, null);
+            Peer watch = f.watch();
+            String list = Fixture.list(2, false, f.entry(0, "DRAINING"), f.entry(1, "SERVING"));
+            for (String line : list.replace("{", "{\n  ").replace(",", ",\n  ").replace("}", "\n}").split("\n")) {
+                Fixture.chunk(watch, line);
+            }
+            old.expectEnd();
+            serve(f, client, "a2", 1, null);
+            assertEquals(1, f.discovery.count());
+        }
+    }
+
+    /** Danger: any byte counted as a word, so a list that never ends kept a dead watch for good. */
+    @Test
+    void aListThatNeverEndsDoesNotKeepTheWatch() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer watch = f.watch();
+            Fixture.chunk(watch, Fixture.list(2, true, f.entry(0, "SERVING")));
+            watch.send("1\r\n{\r\n");
+            watch.socket.setSoTimeout(100);
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            for (boolean open = true; open;) {
+                assertTrue(System.nanoTime() < end, "the watch is kept");
+                try {
+                    watch.send("1\r\n \r\n");
+                    open = watch.line() != null;
+                } catch (java.net.SocketTimeoutException e) {
+                    // not ended yet
+                } catch (java.net.SocketException e) {
+                    open = false;
+                }
+            }
+            assertEquals("GET /registry/instances?stream=1&index=2 HTTP/1.1", callLine(f.discovery.next()));
+        }
+    }
 }
