A connection that ends or is held is read on, so nothing it owes is dropped

To blame: ClientSession.throttle, close and end (auto-read off, unread set in the midst of a read).

A session that ends is read on and answers all that came until nothing is open. What may not be taken up yet waits undecoded, 16 KB at most, and is forgotten when the client goes. What crosses the end is not read for 50 ms: then the client sends it again. Two causes in one commit: they share throttle().

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import java.nio.charset.StandardCharsets;
@@ -14,6 +15,10 @@
 final class ClientSession extends SimpleChannelInboundHandler<Object> {
     /** So many unanswered requests and the connection is not read on until some are answered. */
     private static final int MOST_WAITING = 128;
+    /** So many bytes may wait here to be read on: further ones wait with the client's kernel. */
+    private static final int MOST_AHEAD = 16 << 10;
+    /** What crossed our end was sent again long before this is over, and reading it takes nothing up. */
+    private static final int SETTLE_MS = 50;
     private static final int LINGER_MS = 500;
     private static final int PAUSE_MS = 500;
 
@@ -36,11 +41,18 @@
     private boolean closing;
     private boolean refusing;
     private boolean ending;
+    private boolean settled;
+    private boolean early;
+    /** Commands of this read may still be in the decoder. */
+    private boolean reading;
     /** A whole command has come in this read. */
     private boolean whole;
     private boolean known;
     private boolean paused;
     private boolean lost;
+    /** What has begun to come is not waited for. */
+    private boolean cut;
+    private boolean resuming;
 
     ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
@@ -73,6 +85,7 @@
         }
         Slot slot = new Slot();
         slots.add(slot);
+        reading = true;
         whole = true;
         if (!known && !(message instanceof Command.Fault)) {
             known = true;
@@ -114,20 +127,57 @@
         Slot slot = new Slot();
         slots.add(slot);
         closing = true;
+        cut = true;
+        unread = true;
         answer(slot, line);
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        boolean reading = !unread && channel.config().isAutoRead(); // else what is missing may be with us
-        proxy.admission.said(this, reading && decoder.partial(), whole);
+        reading = false;
+        // held, what is missing of a command may be with us
+        boolean half = !unread && !decoder.held() && decoder.partial();
+        proxy.admission.said(this, half, whole);
         whole = false;
+        throttle();
+        endIfDone();
     }
 
-    /** Bounded memory: a client that asks without end or does not read its answers is not read from. */
+    /**
+     * Bounded memory: a client that asks without end or does not read its answers is not read on. Some bytes
+     * more are taken in unread: else its going, which comes behind them, would not be seen.
+     */
     private void throttle() {
-        boolean room = !closing && slots.size() < MOST_WAITING && channel.isWritable();
-        channel.config().setAutoRead(!paused && !lost && (unread || room));
+        if (full()) {
+            decoder.hold();
+        } else if (decoder.held() && !resuming) {
+            resuming = true;
+            channel.eventLoop().execute(this::resume); // not at once: this may be in the midst of a read
+        }
+        boolean room = !decoder.held() || decoder.ahead() < MOST_AHEAD;
+        channel.config().setAutoRead(room && (!ending || settled));
+    }
+
+    private boolean full() {
+        return early || paused || lost || slots.size() >= MOST_WAITING || !channel.isWritable();
+    }
+
+    /** Nothing is taken up from it until {@link #admit}. */
+    void holdBack() {
+        early = true;
+        decoder.hold();
+    }
+
+    void admit() {
+        early = false;
+        throttle();
+    }
+
+    private void resume() {
+        resuming = false;
+        if (channel.isActive() && !full()) {
+            decoder.resume(channel.pipeline().context(decoder));
+        }
     }
 
     @Override
@@ -167,7 +217,7 @@
             if (lost) {
                 channel.eventLoop().schedule(() -> channel.close(), PAUSE_MS, TimeUnit.MILLISECONDS);
             } else if (closing) {
-                end();
+                endIfDone();
             } else {
                 proxy.idle(this);
             }
@@ -178,11 +228,14 @@
         channel.close();
     }
 
-    /** Ends the connection once what was read from it is answered; nothing more is read. */
+    /** Ends the connection once what has come on it is answered; it is read on until then. */
     void close() {
         closing = true;
-        throttle();
-        if (slots.isEmpty()) {
+        endIfDone();
+    }
+
+    private void endIfDone() {
+        if (closing && !lost && slots.isEmpty() && !reading && (cut || !decoder.partial())) {
             end();
         }
     }
@@ -190,6 +243,8 @@
     /**
      * Closing with bytes unread would make the kernel send a reset, which can overtake the last answer: the
      * sending is ended first, and the connection closed when the client has ended its own or been given time.
+     * What crosses the end is not read until the client has surely seen the end: read, it would be owed an
+     * answer; unread, the client sends it once more.
      */
     private void end() {
         if (ending || !channel.isActive()) {
@@ -197,10 +252,15 @@
         }
         ending = true;
         unread = true;
+        channel.config().setAutoRead(false);
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
             .addListener(f -> ((DuplexChannel) channel).shutdownOutput());
-        throttle();
-        channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        EventLoop loop = channel.eventLoop();
+        loop.schedule(() -> {
+            settled = true;
+            throttle();
+        }, SETTLE_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/src/main/java/holdproxy/net/MetaDecoder.java
+++ b/src/main/java/holdproxy/net/MetaDecoder.java
@@ -1,6 +1,7 @@
 package holdproxy.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
@@ -17,6 +18,7 @@
     private byte[] block;
     private int filled;
     private boolean lost;
+    private boolean held;
 
     /** {@code largest}: the longest block; {@code budget}: for all that come on connections like this. */
     MetaDecoder(int largest, Budget budget) {
@@ -29,6 +31,30 @@
         return !lost && (block != null || actualReadableBytes() > 0);
     }
 
+    /** What comes is kept as it is until {@link #resume}; if the peer goes before, it never was. */
+    final void hold() {
+        held = true;
+    }
+
+    final boolean held() {
+        return held;
+    }
+
+    /** Bytes that have come and are not decoded. */
+    final int ahead() {
+        return actualReadableBytes();
+    }
+
+    final void resume(ChannelHandlerContext ctx) {
+        held = false;
+        try {
+            channelRead(ctx, Unpooled.EMPTY_BUFFER);
+            channelReadComplete(ctx);
+        } catch (Exception e) {
+            ctx.fireExceptionCaught(e);
+        }
+    }
+
     /** A line without its end; returns the length of the block that follows, or {@link #NO_BLOCK}. */
     abstract int line(String line, List<Object> out);
 
@@ -39,6 +65,9 @@
 
     @Override
     protected final void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (held) {
+            return;
+        }
         if (lost) {
             in.skipBytes(in.readableBytes());
         } else if (block != null) {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -81,8 +81,8 @@
     private long heldBytes;
     private long untakenBytes;
     private Channel listener;
-    /** Connections that came before the warm-up was over: not read until it is; null from then on. */
-    private List<Channel> early;
+    /** Connections that came before the warm-up was over: not served until it is; null from then on. */
+    private List<ClientSession> early;
     private boolean draining;
 
     private Proxy(Config config, EventLoop loop) {
@@ -155,7 +155,7 @@
     }
 
     private void admitEarly() {
-        early.forEach(ch -> ch.config().setAutoRead(true));
+        early.forEach(ClientSession::admit);
         early = null;
     }
 
@@ -197,10 +197,11 @@
             @Override
             protected void initChannel(Channel ch) {
                 Command.Decoder decoder = new Command.Decoder(names, coming);
-                ch.pipeline().addLast(decoder, new ClientSession(proxy, decoder));
+                ClientSession session = new ClientSession(proxy, decoder);
+                ch.pipeline().addLast(decoder, session);
                 if (early != null && !SocketWarmup.own((InetSocketAddress) ch.remoteAddress(), address())) {
-                    ch.config().setAutoRead(false);
-                    early.add(ch);
+                    session.holdBack();
+                    early.add(session);
                 }
             }
         };
