A drain lasts as the settings' longest deadline allows, not 3.6 s

SIGKILL comes no sooner than the longest deadline (3 s at least) plus 0.7 s. DRAIN_MOST_MS was fixed at 3.6 s: with deadlines over 3 s requests taken before SIGTERM were cut off unanswered. Read from Proxy.drain; the test on longer deadlines fails without this.

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -46,7 +46,11 @@
     private static final long OVERDUE_US = 15_000;
     /** After SIGTERM new connections still come for 0.4 s; what comes after 0.7 s may be cut off. */
     private static final long DRAIN_OPEN_MS = 500;
-    private static final long DRAIN_MOST_MS = 3_600;
+    /** SIGKILL comes no sooner than this after the longest deadline, which counts as 3 s where shorter. */
+    private static final long KILL_AFTER_US = 700_000;
+    private static final long KILL_LONGEST_US = 3_000_000;
+    /** What is left of that to say the last words and end. */
+    private static final long KILL_MARGIN_US = 100_000;
     private static final long TICK_US = 20_000;
     private static final long JUST_US = 5_000;
     private static final long LATE_TOLD_US = 50_000;
@@ -552,13 +556,21 @@
             loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
         });
         try {
-            boolean all = drained.await(DRAIN_MOST_MS, TimeUnit.MILLISECONDS);
+            boolean all = drained.await(drainMostUs(config.settings), TimeUnit.MICROSECONDS);
             log.line(all ? "ended" : "ending with requests open");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    static long drainMostUs(Router.Settings settings) {
+        long longest = KILL_LONGEST_US;
+        for (Router.RequestClass c : settings.classes) {
+            longest = Math.max(longest, c.deadlineUs);
+        }
+        return longest + KILL_AFTER_US - KILL_MARGIN_US;
+    }
+
     private void stopListening() {
         listener.close();
         listener = null;
--- a/src/test/java/holdproxy/net/DrainTest.java
+++ b/src/test/java/holdproxy/net/DrainTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdproxy.Router;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -104,4 +105,15 @@
             assertEquals(MOST_WAITING, f.nodes.get(0).count());
         }
     }
+
+    /** Danger: fixed at 3.6 s, the end came before requests of a longer deadline were answered. */
+    @Test
+    void theEndWaitsForTheLongestDeadlineOfTheSettings() {
+        Router.Settings s = new Router.Settings();
+        s.classes = new Router.RequestClass[] {new Router.RequestClass(), new Router.RequestClass()};
+        s.classes[0].deadlineUs = 500_000;
+        assertEquals(3_600_000, Proxy.drainMostUs(s));
+        s.classes[1].deadlineUs = 8_000_000;
+        assertEquals(8_600_000, Proxy.drainMostUs(s));
+    }
 }
