SIGTERM during the start answers who has come, instead of ending at once

The drain was set up only after the warm-up, though the listener accepts before it: a proxy told to end in between died with its first clients' requests taken (Proxy.serve). Connections held back by the warm-up are admitted when the drain begins; where nobody could connect yet, the program ends at once. A failed start halts with 2 and drains nothing.

--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -28,7 +28,7 @@
             Proxy.serve(System.getenv());
         } catch (BadInput e) {
             System.err.println("holdproxy: " + e.getMessage());
-            System.exit(2);
+            Runtime.getRuntime().halt(2); // there is nothing to drain
         }
     }
 
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -84,7 +84,7 @@
     private long lastLateUs;
     private long heldBytes;
     private long untakenBytes;
-    private Channel listener;
+    private volatile Channel listener;
     /** Connections that came before the warm-up was over: not served until it is; null from then on. */
     private List<ClientSession> early;
     private boolean draining;
@@ -117,11 +117,12 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Proxy proxy = create(config, loop);
         new Reload(env, proxy.log, proxy::reload).onSignal();
-        proxy.openWarm();
+        // before it listens: clients that come during the start are owed their answers too
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             proxy.drain(DRAIN_OPEN_MS);
             Runtime.getRuntime().halt(0);
         }, "drain"));
+        proxy.openWarm();
     }
 
     static Proxy start(Config config, EventLoop loop) {
@@ -159,8 +160,10 @@
     }
 
     private void admitEarly() {
-        early.forEach(ClientSession::admit);
-        early = null;
+        if (early != null) {
+            early.forEach(ClientSession::admit);
+            early = null;
+        }
     }
 
     private void open() {
@@ -553,7 +556,12 @@
         loop.execute(() -> {
             draining = true;
             log.line("ending: " + table.size() + " requests open");
-            loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
+            admitEarly();
+            if (listener == null) {
+                finishDrain(); // nobody could come yet
+            } else {
+                loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
+            }
         });
         try {
             boolean all = drained.await(drainMostUs(config.settings), TimeUnit.MICROSECONDS);
--- a/src/test/java/holdproxy/net/StartTest.java
+++ b/src/test/java/holdproxy/net/StartTest.java
@@ -28,30 +28,47 @@
      */
     @Test
     void aStartUsesNoUnixSocket() throws Exception {
-        Path config = folder.resolve("config.json");
-        Files.writeString(config, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
-        Path loaded = folder.resolve("loaded");
         InetSocketAddress listen = freeAddress();
-        ProcessBuilder builder = new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xlog:class+load:file=" + loaded, "-cp", System.getProperty("java.class.path"),
-            "holdproxy.Main", "serve");
-        builder.environment().putAll(Fixture.env(config, "127.0.0.1:1"));
-        builder.environment().put("LB_LISTEN", listen.getAddress().getHostAddress() + ":" + listen.getPort());
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
-        Process proxy = builder.start();
+        Process proxy = start(listen);
         try {
             assertEquals("MN", greeting(proxy, listen));
         } finally {
             proxy.destroy();
             assertTrue(proxy.waitFor(30, TimeUnit.SECONDS));
         }
-        List<String> all = Files.readAllLines(loaded);
+        List<String> all = Files.readAllLines(folder.resolve("loaded"));
         assertTrue(all.stream().anyMatch(l -> l.contains("holdproxy.net.Proxy")));
         assertEquals(List.of(), all.stream()
             .filter(l -> l.contains("UnixDomainSockets") || l.contains("DomainSocketChannel")).toList());
     }
 
+    /** Danger: a proxy told to end before it was ready died at once, with its first clients' requests taken. */
+    @Test
+    void whoComesDuringTheStartIsAnsweredAlsoIfItIsToldToEndThen() throws Exception {
+        InetSocketAddress listen = freeAddress();
+        Process proxy = start(listen);
+        Peer client = firstClient(proxy, listen);
+        proxy.destroy();
+        client.send("mn\r\n");
+        client.expect("MN");
+        client.expectEnd();
+        assertTrue(proxy.waitFor(30, TimeUnit.SECONDS));
+        assertEquals(0, proxy.exitValue());
+    }
+
+    private Process start(InetSocketAddress listen) throws IOException {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
+        ProcessBuilder builder = new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xlog:class+load:file=" + folder.resolve("loaded"), "-cp", System.getProperty("java.class.path"),
+            "holdproxy.Main", "serve");
+        builder.environment().putAll(Fixture.env(config, "127.0.0.1:1"));
+        builder.environment().put("LB_LISTEN", listen.getAddress().getHostAddress() + ":" + listen.getPort());
+        builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
+        return builder.start();
+    }
+
     /** On a loopback address that nobody else uses: the port is still free when the program takes it. */
     private static InetSocketAddress freeAddress() throws IOException {
         byte[] own = new byte[4];
@@ -65,14 +82,20 @@
 
     /** Its answer to {@code mn}, as soon as it listens. */
     private static String greeting(Process proxy, InetSocketAddress listen) throws Exception {
+        try (Peer client = firstClient(proxy, listen)) {
+            client.send("mn\r\n");
+            return client.line();
+        }
+    }
+
+    private static Peer firstClient(Process proxy, InetSocketAddress listen) throws Exception {
         while (proxy.isAlive()) {
-            try (Peer client = Peer.to(listen)) {
-                client.send("mn\r\n");
-                return client.line();
+            try {
+                return Peer.to(listen);
             } catch (java.net.ConnectException e) {
                 Thread.onSpinWait(); // not listening yet
             }
         }
-        return "ended with " + proxy.exitValue();
+        throw new AssertionError("ended with " + proxy.exitValue());
     }
 }
