A call to discovery that falls silent before its first word is made again within a second

To blame: the 4 s for a first word, and one event for silence and failure (Discovery.Call.failed).

Silence is told apart (ListKind.SILENT, not on the simulator's wire): the first silent call is made again within a second, further ones back off as load. The module test does not compile without it.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -157,13 +157,11 @@
 
     @Override
     public void onNodes(long now, ListKind kind, Node[] nodes, int count, Actions out) {
-        if (kind == ListKind.FAILED) {
+        if (kind == ListKind.FAILED || kind == ListKind.SILENT) {
             subscribed = false;
             report(now, "node list call failed", out);
-            double wait = watched ? ASK_AGAIN_US * random.unit()
-                    : ASK_RETRY_US * (1L << Math.min(askFailures++, 2)) * (0.5 + random.unit());
+            out.timer((long) askPause(kind), TIMER_ASK);
             watched = false;
-            out.timer((long) wait, TIMER_ASK);
             return;
         }
         watched = subscribed && kind != ListKind.CACHED;
@@ -171,6 +169,14 @@
         fleet.apply(kind, nodes, count);
     }
 
+    private double askPause(ListKind kind) {
+        // what a silent call misses counts like what a silent watch does; silence again may be load
+        boolean soon = watched || kind == ListKind.SILENT && askFailures == 0;
+        askFailures += watched ? 0 : 1;
+        return soon ? ASK_AGAIN_US * random.unit()
+                : ASK_RETRY_US * (1L << Math.min(askFailures - 1, 2)) * (0.5 + random.unit());
+    }
+
     // ---- arrival: the tenant's chance ----
 
     @Override
--- a/src/main/java/holdproxy/Router.java
+++ b/src/main/java/holdproxy/Router.java
@@ -23,7 +23,8 @@
 
     enum NodeState { READY, DRAINING, GONE }
 
-    enum ListKind { DELTA, FULL, CACHED, FAILED }
+    /** SILENT: the call or watch said nothing and was given up; FAILED: it was turned away or broke. */
+    enum ListKind { DELTA, FULL, CACHED, FAILED, SILENT }
 
     /** How an attempt ended. {@link #neverRan}: the outcome proves that the node did no work on it. */
     enum Outcome {
--- a/src/main/java/holdproxy/SimHost.java
+++ b/src/main/java/holdproxy/SimHost.java
@@ -27,7 +27,8 @@
     private static final Router.CacheNote[] NOTES = Router.CacheNote.values();
     private static final Router.NodeState[] STATES =
         {Router.NodeState.GONE, Router.NodeState.READY, Router.NodeState.DRAINING};
-    private static final Router.ListKind[] KINDS = Router.ListKind.values();
+    private static final Router.ListKind[] KINDS = {Router.ListKind.DELTA, Router.ListKind.FULL,
+        Router.ListKind.CACHED, Router.ListKind.FAILED};
 
     private final InputStream in;
     private final OutputStream out;
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -41,11 +41,9 @@
 final class Discovery {
     private static final String PATH = "/registry/instances";
     private static final int LONGEST_LIST = 1 << 20;
-    /** How long a call may wait for its first word. */
-    private static final int FIRST_WORD_MS = 4000;
     /**
      * An empty line comes every 2 s; a cut-off machine says nothing at all. Changes count as told 6 s after
-     * the watch fell silent: by then it must be given up and asked for again, and the answer be here.
+     * it fell silent: by then it must be given up and asked for again, and the answer be here.
      */
     private static final int SILENCE_MS = 3000;
     private static final int CONNECT_MS = 2000;
@@ -96,11 +94,11 @@
         if (moving() || watch != null) {
             return; // one watch is enough, also one just begun at a new service: each call costs list lines
         }
-        watch = new Call(PATH + "?stream=1&index=" + version, true, FIRST_WORD_MS);
+        watch = new Call(PATH + "?stream=1&index=" + version, true, SILENCE_MS);
     }
 
     void fetch() {
-        new Call(PATH, false, FIRST_WORD_MS);
+        new Call(PATH, false, SILENCE_MS);
     }
 
     /**
@@ -296,7 +294,7 @@
             if (silence != null) {
                 silence.cancel(false);
             }
-            Runnable giveUp = () -> failed("nothing said for " + ms + " ms");
+            Runnable giveUp = () -> over("nothing said for " + ms + " ms", Router.ListKind.SILENT);
             silence = loop.schedule(giveUp, ms, TimeUnit.MILLISECONDS);
         }
 
@@ -309,6 +307,10 @@
         }
 
         private void failed(String why) {
+            over(why, Router.ListKind.FAILED);
+        }
+
+        private void over(String why, Router.ListKind how) {
             if (over) {
                 return;
             }
@@ -324,7 +326,7 @@
                     return; // the old service ends its watches when it is replaced
                 }
             }
-            proxy.nodes(Router.ListKind.FAILED, List.of());
+            proxy.nodes(how, List.of());
         }
 
         @Override
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -272,6 +272,23 @@
         }
     }
 
+    /** Danger: watches may fall silent before their first word, and what that would have told counts too. */
+    @Test
+    void aCallThatFallsSilentIsMadeAgainWithinASecondOnceAndThenBacksOff() {
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.askForNodes = true;
+        for (int seed = 0; seed < 50; seed++) {
+            Fixture f = new Fixture();
+            Choice p = f.choice(s, seed * 7919, Fixture.nodes(2));
+            f.fire(p, 8 * S);
+            p.onNodes(10 * S, Router.ListKind.SILENT, new Router.Node[0], 0, f);
+            assertTrue(f.timers.get(0)[0] <= S, "asked again after " + f.timers.get(0)[0]);
+            f.fire(p, 11 * S);
+            p.onNodes(14 * S, Router.ListKind.SILENT, new Router.Node[0], 0, f);
+            assertTrue(f.timers.get(0)[0] >= S, "silent again: not at once");
+        }
+    }
+
     /** Incidents i82db3d, icf0b68, i15b002: choked nodes heal only when most load is taken off; 22 without. */
     @Test
     void failuresRunningWithoutASuccessBringRefusalsWithinAFewRequestsEvenBelowQuota() {
