Where lists are pushed a failed watch is opened again within the grace for drains

There what the agent has counts as told, watch or no watch, so pauses of 1 s to 12 s after a failed call are past the grace of 0.5 s.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -97,6 +97,9 @@
     // A watch that had told something and ends is asked for again within this time: what it misses counts as
     // told 6 s after it fell silent, of which finding that out takes half.
     static final long ASK_AGAIN_US = 1_000_000;
+    // Where lists are pushed: pauses as a share of the grace for drains, and of this where none is stated.
+    static final double ASK_PUSHED = 0.4;
+    static final long ASK_PUSHED_LEAST_US = 250_000;
     static final long REPORT_EVERY_US = 20_000_000;
     static final String REPORT = "%s: origin chance %.2f, failures running %.0f, list calls failed %d";
     static final int ATTEMPTS_MOST = 8;
@@ -170,6 +173,11 @@
     }
 
     private double askPause(ListKind kind) {
+        if (!set.askForNodes) {
+            // what an agent has counts as told from its return on: the whole pause is taken from that grace
+            askFailures++;
+            return ASK_PUSHED * Math.max(ASK_PUSHED_LEAST_US, set.drainGraceUs) * (0.5 + random.unit());
+        }
         // what a silent call misses counts like what a silent watch does; silence again may be load
         boolean soon = watched || kind == ListKind.SILENT && askFailures == 0;
         askFailures += watched ? 0 : 1;
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -253,6 +253,20 @@
         assertTrue(out.timers.isEmpty(), "subscribed: nothing more to ask");
     }
 
+    /** Danger: what an agent that is back has counts as told at once, and calls were 3 s to 12 s apart by then. */
+    @Test
+    void whereListsArePushedAFailedCallIsMadeAgainWithinTheGraceForDrains() {
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.drainGraceUs = S / 2;
+        Choice p = out.choice(s, 3, Fixture.nodes(2));
+        for (int i = 1; i <= 50; i++) {
+            p.onNodes(i * S, Router.ListKind.FAILED, new Router.Node[0], 0, out);
+            assertTrue(out.timers.get(0)[0] <= s.drainGraceUs * 2 / 3, "again after " + out.timers.get(0)[0]);
+            out.fire(p, i * S);
+            assertEquals(i, out.subscribes);
+        }
+    }
+
     /** Danger: what a broken watch misses counts as told while the module still waits to ask again. */
     @Test
     void aWatchThatHadToldSomethingIsAskedForAgainWithinASecondAndBacksOffOnlyThen() {
