A new connection is not closed for room before what came with it was read

At the bound on client connections each new one closed the oldest that had not asked: in a burst that is one accepted a moment before, its whole request unread. Read from Admission.makeRoom; the test stops the loop while 48 clients connect and ask, and each is answered. Such a connection now gives way after two passes of the loop, or 0.3 s; the new one is answered busy instead, within the old bound.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -19,6 +19,8 @@
     /** A client is owed an error or a close within 3 s of connecting, and of beginning a command. */
     private static final long STRANGER_US = 2_000_000;
     private static final long HALF_SAID_US = 2_000_000;
+    /** What a new connection brings along is read within this, also where no other connection comes. */
+    private static final long UNREAD_US = 300_000;
     /** A connection between requests may go after 2 s; most clients come back within these. */
     private static final long IDLE_US = 10_000_000;
     /** Where clients are short of connections, one that waits for a request gets it sooner than this. */
@@ -30,6 +32,8 @@
     private final int mostKnown;
     private final EventLoop loop;
     private boolean trimming;
+    private boolean counting;
+    private long pass;
     private final Set<ClientSession> all = new LinkedHashSet<>();
     /** Those that have sent no whole valid command yet, oldest first: the first to make room. */
     private final Set<ClientSession> strangers = new LinkedHashSet<>();
@@ -52,6 +56,8 @@
     void opened(ClientSession s) {
         all.add(s);
         s.openedUs = proxy.now();
+        s.openedPass = pass;
+        countPass();
         if (all.size() > most && !makeRoom()) {
             s.refuse();
             if (all.size() > most + MOST_REFUSING) {
@@ -62,9 +68,13 @@
         strangers.add(s);
     }
 
-    /** Between requests a connection may be closed; those that never asked for anything go first. */
+    /**
+     * Between requests a connection may be closed; those that never asked for anything go first, but not
+     * before they were read: in a burst each would end the one before it, whose request is unread.
+     */
     private boolean makeRoom() {
-        ClientSession s = strangers.isEmpty() ? leastMissed() : first(strangers);
+        ClientSession s = first(strangers);
+        s = s == null ? leastMissed() : surelyRead(s) ? s : null;
         if (s == null) {
             return false;
         }
@@ -73,6 +83,22 @@
         return true;
     }
 
+    /** Its opening lies two passes of the loop back: one of them has read what came along with it. */
+    private boolean surelyRead(ClientSession s) {
+        return pass - s.openedPass >= 2 || proxy.now() - s.openedUs > UNREAD_US;
+    }
+
+    /** Counts passes of the loop as long as connections come in them. */
+    private void countPass() {
+        if (!counting) {
+            counting = true;
+            loop.execute(() -> {
+                counting = false;
+                pass++;
+            });
+        }
+    }
+
     /** It has sent a whole valid command. */
     void known(ClientSession s) {
         strangers.remove(s);
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -30,6 +30,7 @@
 
     /** Kept for {@link Admission}: when it was opened, became idle and began the command that it is in. */
     long openedUs;
+    long openedPass;
     long idleUs;
     long halfSaidUs;
     boolean askedAgain;
--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -111,6 +112,32 @@
         }
     }
 
+    /** Danger: closed for room as soon as they had come, clients of a burst lost what they had sent along. */
+    @Test
+    void aBurstBeyondTheBoundIsAnsweredAlsoWhereItWasNotReadYet() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s, 128)) { // 40 of them are for clients
+            CountDownLatch connected = new CountDownLatch(1);
+            f.loop.execute(() -> {
+                try {
+                    connected.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            List<Peer> burst = new ArrayList<>();
+            for (int i = 0; i < 48; i++) {
+                Peer p = f.client();
+                p.send("mn\r\n");
+                burst.add(p);
+            }
+            connected.countDown();
+            for (Peer p : burst) {
+                String line = p.line();
+                assertTrue("MN".equals(line) || "SERVER_ERROR busy 500".equals(line), "answered " + line);
+            }
+        }
+    }
+
     /** Danger: a connection closed for room in the middle of a read loses what the decoder still has of it. */
     @Test
     void commandsReadTogetherAreAllAnsweredAlsoWhereRoomIsMade() throws Exception {
