An attempt that waits for its connection is dropped when its client goes

Where the settings forbid to take attempts back (caps.mayCancel), the module left it, and it went out for nobody once the connection came up. It was never sent, so there is nothing to take back: the network code drops it, told as not sent (Proxy.clientGone). The test makes the order with a node that does not accept until the client has gone.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -45,6 +45,10 @@
         return !closed && !retired && (!up || channel.isActive());
     }
 
+    boolean isUp() {
+        return up;
+    }
+
     void add(Attempt a) {
         a.connection = this;
         line.add(a);
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -335,6 +335,9 @@
     void clientGone(Exchange x) {
         if (!x.answered) {
             concluded(x);
+            // the module may not be allowed to take attempts back; what waits for a connection was never sent
+            x.attempts.stream().filter(a -> !a.over && !a.connection.isUp())
+                .toList().forEach(a -> giveUp(a, Router.Outcome.NOT_SENT));
             event(() -> router.onAborted(now(), x.id, this));
         }
     }
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -221,6 +221,30 @@
         }
     }
 
+    /** Danger: where attempts may not be taken back, one that waited for its connection went out for nobody. */
+    @Test
+    void whatWaitsForAConnectionIsNotSentOnceItsClientHasGone() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s.replace("\"mayCancel\":true", "\"mayCancel\":false")
+                .replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":9000.0")
+                .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":18000.0"), 1024);
+                Peer.Deaf deaf = new Peer.Deaf()) {
+            onlyNode(f, deaf.address());
+            Peer gone = f.client();
+            gone.send(Fixture.read("a1", 4900));
+            Peer client = f.client();
+            client.send("mn\r\n"); // answered behind it
+            client.expect("MN");
+            gone.close();
+            client.send(Fixture.read("a2", 4900));
+            Peer node = deaf.hear();
+            for (String line = node.line(); line == null; line = node.line()) {
+                node = deaf.hear(); // ended before it came up
+            }
+            node.send("VA 1 Oa2\r\n2\r\n");
+            client.expect("VA 1 Oa2", "2");
+        }
+    }
+
     @Test
     void anAttemptGivenUpBeforeItsConnectionIsUpIsNotWrittenWhenItComesUpForAnother() throws Exception {
         try (Fixture f = new Fixture(1, s -> SHARING.apply(s)
