--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -253,6 +253,20 @@
         assertTrue(out.timers.isEmpty(), "subscribed: nothing more to ask");
     }
 
+    /** Danger: what an agent that is back has counts as told at once, and calls were 3 s to 12 s apart by then. */
+    @Test
+    void whereListsArePushedAFailedCallIsMadeAgainWithinTheGraceForDrains() {
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.drainGraceUs = S / 2;
+        Choice p = out.choice(s, 3, Fixture.nodes(2));
+        for (int i = 1; i <= 50; i++) {
+            p.onNodes(i * S, Router.ListKind.FAILED, new Router.Node[0], 0, out);
+            assertTrue(out.timers.get(0)[0] <= s.drainGraceUs * 2 / 3, "again after " + out.timers.get(0)[0]);
+            out.fire(p, i * S);
+            assertEquals(i, out.subscribes);
+        }
+    }
+
     /** Danger: what a broken watch misses counts as told while the module still waits to ask again. */
     @Test
     void aWatchThatHadToldSomethingIsAskedForAgainWithinASecondAndBacksOffOnlyThen() {
@@ -272,6 +286,23 @@
         }
     }
 
+    /** Danger: watches may fall silent before their first word, and what that would have told counts too. */
+    @Test
+    void aCallThatFallsSilentIsMadeAgainWithinASecondOnceAndThenBacksOff() {
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.askForNodes = true;
+        for (int seed = 0; seed < 50; seed++) {
+            Fixture f = new Fixture();
+            Choice p = f.choice(s, seed * 7919, Fixture.nodes(2));
+            f.fire(p, 8 * S);
+            p.onNodes(10 * S, Router.ListKind.SILENT, new Router.Node[0], 0, f);
+            assertTrue(f.timers.get(0)[0] <= S, "asked again after " + f.timers.get(0)[0]);
+            f.fire(p, 11 * S);
+            p.onNodes(14 * S, Router.ListKind.SILENT, new Router.Node[0], 0, f);
+            assertTrue(f.timers.get(0)[0] >= S, "silent again: not at once");
+        }
+    }
+
     /** Incidents i82db3d, icf0b68, i15b002: choked nodes heal only when most load is taken off; 22 without. */
     @Test
     void failuresRunningWithoutASuccessBringRefusalsWithinAFewRequestsEvenBelowQuota() {
