--- a/src/main/java/holdproxy/Target.java
+++ b/src/main/java/holdproxy/Backend.java
@@ -1,7 +1,7 @@
 package holdproxy;
 
 /** A node or the origin, as this proxy knows it. */
-final class Target {
+final class Backend {
     final int id;
     int cell;
     int zone;
@@ -12,9 +12,9 @@
     /** Our own attempts out. */
     int inFlight;
     /** Its one BLUE bucket: the chance of being passed over. */
-    final Fading chance = new Fading(Choice.NODE_FADE_US);
+    final DecayingValue chance = new DecayingValue(RoutingPolicy.NODE_FADE_US);
     /** Share of its cores busy, as last reported. */
-    final Fading busy = new Fading(Choice.BUSY_FADE_US);
+    final DecayingValue busy = new DecayingValue(RoutingPolicy.BUSY_FADE_US);
 
     /** When one of our attempts last came back, leaving its connection idle; MIN_VALUE: none is open. */
     long idleSince = Long.MIN_VALUE;
@@ -22,7 +22,7 @@
     /** When a connection to it last failed, and it has answered nothing since; MIN_VALUE: it has. */
     long refusedAt = Long.MIN_VALUE;
 
-    Target(int id) {
+    Backend(int id) {
         this.id = id;
     }
 }
--- a/src/main/java/holdproxy/Fading.java
+++ b/src/main/java/holdproxy/DecayingValue.java
@@ -1,19 +1,19 @@
 package holdproxy;
 
 /** One value with its last update, fading with time: a rate, a report or a single BLUE bucket. */
-final class Fading {
+final class DecayingValue {
     private double fadeUs;
     private double value;
     private long updated;
 
-    Fading(double fadeUs) {
+    DecayingValue(double fadeUs) {
         this.fadeUs = fadeUs;
     }
 
-    static Fading[] array(int n, double fadeUs) {
-        Fading[] all = new Fading[n];
+    static DecayingValue[] array(int n, double fadeUs) {
+        DecayingValue[] all = new DecayingValue[n];
         for (int i = 0; i < n; i++) {
-            all[i] = new Fading(fadeUs);
+            all[i] = new DecayingValue(fadeUs);
         }
         return all;
     }
--- a/src/main/java/holdproxy/Fleet.java
+++ b/src/main/java/holdproxy/Fleet.java
@@ -4,17 +4,17 @@
 
 /** The node list as last told, without what is gone and has nothing out; and flat arrays of what is ready. */
 final class Fleet {
-    private final LongMap<Target> byId = new LongMap<>();
+    private final LongMap<Backend> byId = new LongMap<>();
     private final boolean aside;
     private final int originKind;
-    private Target[] known = new Target[16];
+    private Backend[] known = new Backend[16];
     private int knownCount;
-    Target[] ready = new Target[0];
+    Backend[] ready = new Backend[0];
     long[] salt = new long[0];
     double[] inverseWeight = new double[0];
     int readyCount;
-    Target[] origins = new Target[0];
-    private Target[] top = new Target[0];
+    Backend[] origins = new Backend[0];
+    private Backend[] top = new Backend[0];
     private double[] topScore = new double[0];
 
     Fleet(Router.Settings settings) {
@@ -22,7 +22,7 @@
         originKind = settings.originKind;
     }
 
-    boolean isOrigin(Target t) {
+    boolean isOrigin(Backend t) {
         return aside && t.kind == originKind;
     }
 
@@ -41,9 +41,9 @@
 
     private void update(Router.Node n) {
         long id = n.id & 0xffffffffL;
-        Target t = byId.get(id);
+        Backend t = byId.get(id);
         if (t == null) {
-            t = new Target(n.id);
+            t = new Backend(n.id);
             byId.put(id, t);
             if (knownCount == known.length) {
                 known = Arrays.copyOf(known, 2 * knownCount);
@@ -70,7 +70,7 @@
     private void forget() {
         int kept = 0;
         for (int i = 0; i < knownCount; i++) {
-            Target t = known[i];
+            Backend t = known[i];
             if (t.state == Router.NodeState.GONE && t.inFlight == 0) {
                 byId.remove(t.id & 0xffffffffL);
             } else {
@@ -82,14 +82,14 @@
     }
 
     private void arrange() {
-        ready = new Target[knownCount];
+        ready = new Backend[knownCount];
         salt = new long[knownCount];
         inverseWeight = new double[knownCount];
         readyCount = 0;
-        Target[] found = new Target[knownCount];
+        Backend[] found = new Backend[knownCount];
         int originCount = 0;
         for (int i = 0; i < knownCount; i++) {
-            Target t = known[i];
+            Backend t = known[i];
             if (t.state != Router.NodeState.READY) {
                 continue;
             }
@@ -105,7 +105,7 @@
     }
 
     /** The mean chance of the ready nodes other than this one; 0 where there are none. */
-    double meanChanceBut(Target t, long now) {
+    double meanChanceBut(Backend t, long now) {
         double sum = 0;
         int others = 0;
         for (int i = 0; i < readyCount; i++) {
@@ -121,9 +121,9 @@
      * Weighted rendezvous hashing: the nodes with the lowest of about exp(1)/weight, best first. The array is
      * reused by the next call and ends with null where fewer are ready.
      */
-    Target[] rank(long key, int wanted) {
+    Backend[] rendezvous(long key, int wanted) {
         if (top.length < wanted) {
-            top = new Target[wanted];
+            top = new Backend[wanted];
             topScore = new double[wanted];
         }
         Arrays.fill(top, null);
--- a/src/main/java/holdproxy/Open.java
+++ b/src/main/java/holdproxy/InFlightRequest.java
@@ -1,7 +1,7 @@
 package holdproxy;
 
 /** A request not yet concluded, or with attempts still out. */
-final class Open {
+final class InFlightRequest {
     final long id;
     final long key;
     final long arrived;
@@ -18,12 +18,12 @@
     /** Bits by attempt: still out, and not proven never to have run. */
     int out;
     int mayHaveRun;
-    final Target[] node = new Target[Choice.ATTEMPTS_MOST];
+    final Backend[] node = new Backend[RoutingPolicy.ATTEMPTS_MOST];
     /** How long the connection had idled when the attempt was sent; -1: a new one. */
-    final long[] idledUs = new long[Choice.ATTEMPTS_MOST];
-    final long[] sentAt = new long[Choice.ATTEMPTS_MOST];
+    final long[] idledUs = new long[RoutingPolicy.ATTEMPTS_MOST];
+    final long[] sentAt = new long[RoutingPolicy.ATTEMPTS_MOST];
 
-    Open(Router.Request q, Router.RequestClass type, int tenant, long now) {
+    InFlightRequest(Router.Request q, Router.RequestClass type, int tenant, long now) {
         id = q.id;
         key = q.key;
         arrived = now;
@@ -39,7 +39,7 @@
         return Math.max(0, latencyUs - costUs) / type.aimUs;
     }
 
-    void sent(Target t, long now) {
+    void sent(Backend t, long now) {
         node[attempts] = t;
         sentAt[attempts] = now;
         out |= 1 << attempts;
@@ -60,7 +60,7 @@
         }
     }
 
-    boolean tried(Target t) {
+    boolean tried(Backend t) {
         for (int i = 0; i < attempts; i++) {
             if (node[i] == t) {
                 return true;
--- a/src/main/java/holdproxy/Router.java
+++ b/src/main/java/holdproxy/Router.java
@@ -108,7 +108,7 @@
         public boolean askForNodes;
         public boolean mayCancel;
         public boolean mayProbe;
-        public boolean secondCopies;
+        public boolean hedging;
         public boolean retryAfter;
         public long maxRetryAfterUs;
         public int maxAttempts = 1;
--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -8,7 +8,7 @@
  * Every decision of holdproxy: stochastic fair BLUE per proxy after "FAIR: Allocating Resources Fairly at
  * Scale" (M. Sathe), with two hashed candidates per key. The comments name what departs from it and when.
  */
-public final class Choice implements Router {
+public final class RoutingPolicy implements Router {
     // FAIR: levels x buckets. Two tenants share all buckets with chance 64^-3; two tables are 5 KB a proxy.
     static final int LEVELS = 3;
     static final int BUCKETS = 64;
@@ -28,15 +28,15 @@
     static final double NODE_FADE_MOST_US = 60e6;
     // Fresh seeds this often; several fading times, so that the shadow has learnt what the live table knows.
     static final long ROTATE_US = 60_000_000;
-    // Own rates and the heat of keys are counted over about this time.
+    // Own rates and the sketch of hot keys are counted over about this time.
     static final double RATE_US = 10e6;
     // Quota weight: this many requests of doubt on either side, and at most this much more than one step.
     static final double QUOTA_DOUBT = 3;
     static final double QUOTA_MOST = 4;
     static final double RATIO_LEARN = 1.0 / 64;
     // A choked fleet heals only at a fraction of its load: failures running without one success prove it.
-    static final double STREAK_TELLS = 3;
-    static final double STREAK_MOST = 4;
+    static final double CONSECUTIVE_TELLS = 3;
+    static final double CONSECUTIVE_MOST = 4;
     // While they run, chances fade up to so many times slower: many proxies' trials keep a fleet choked.
     static final double FADE_MOST = 8;
     // A trial always gets through: no bucket refuses or passes over more often than this.
@@ -64,29 +64,29 @@
     // A key is hot when seen before this lately and when it alone would fill this share of a node's part.
     static final double HOT_SEEN = 0.3;
     static final double HOT_SHARE = 0.5;
-    static final double HEAT_US = 20e6;
-    static final int HEAT_BUCKETS = 256;
+    static final double HOT_KEY_US = 20e6;
+    static final int HOT_KEY_BUCKETS = 256;
     // Part of a cold node's capacity that admitted keys may fill at first: each miss costs it extra work.
     static final double COLD_PART = 0.4;
-    // Further attempts and second copies are paid from a budget earned by requests.
-    static final double BUDGET_EARN = 0.1;
-    static final double BUDGET_MOST = 10;
-    static final double BUDGET_FIRST = 1;
+    // Retry budget: further attempts and hedged requests are paid from what requests earn.
+    static final double RETRY_BUDGET_EARN = 0.1;
+    static final double RETRY_BUDGET_MOST = 10;
+    static final double RETRY_BUDGET_FIRST = 1;
     // After a broken or refused connection no node has worked, or only one that could not answer, and none
     // where one turned it away: such a further attempt multiplies little, and where one in seven breaks or
     // half the nodes turn a tenant away they would spend the whole budget.
     static final double BROKEN_PRICE = 0.25;
-    // A copy may turn out needless and costs its second cache a miss, so it is dearer than a further attempt.
-    static final double COPY_PRICE = 5;
-    // Second copies go out between these shares of the aim, by the round-trip estimate in between.
-    static final double COPY_SOONEST = 0.3;
-    static final double COPY_LATEST = 0.6;
-    // Connections: a failure cuts the time that one may idle by e, a use of one that had idled wins it back.
+    // A hedge may turn out needless and costs its second cache a miss: it is dearer than a further attempt.
+    static final double HEDGE_PRICE = 5;
+    // Hedged requests go out between these shares of the aim, by the round-trip estimate in between.
+    static final double HEDGE_SOONEST = 0.3;
+    static final double HEDGE_LATEST = 0.6;
+    // The adaptive idle time-out: a failure cuts it by e, a use of a connection that had idled wins it back.
     // However often, the time stays above what a used one rests: at 12 it fell to 0.2 ms, nothing was reused
     // that could win it back, and each request paid for a handshake.
-    static final double THRIFT_STEP = 1;
-    static final double THRIFT_MOST = 4;
-    static final double THRIFT_FADE_US = 60e6;
+    static final double IDLE_CUT_STEP = 1;
+    static final double IDLE_CUT_MOST = 4;
+    static final double IDLE_CUT_FADE_US = 60e6;
     // A node that takes no connection and answers within this time on another has no place left; one that
     // answers nothing is down. Held against all connections, 15 nodes gone cost one for each request.
     static final long FULL_US = 2_000_000;
@@ -104,38 +104,38 @@
     static final String REPORT = "%s: origin chance %.2f, failures running %.0f, list calls failed %d";
     static final int ATTEMPTS_MOST = 8;
     static final int TIMER_ASK = 0;
-    static final int TIMER_COPY = 1;
+    static final int TIMER_HEDGE = 1;
 
     private final Settings set;
     private final int attemptsMost;
     private final Random random;
     private Blue live;
     private Blue shadow;
-    private final Blue heat;
-    private final Fading heatCount = new Fading(HEAT_US);
+    private final Blue hotKeys; // a sketch: counts of keys, decayed
+    private final DecayingValue hotKeyCount = new DecayingValue(HOT_KEY_US);
     private long rotateAt;
-    private final Fading[] asked;
-    private final Fading[] admitted;
+    private final DecayingValue[] asked;
+    private final DecayingValue[] admitted;
     private final double leastWorth;
     private double meanChance;
     private double meanRatio = 1;
-    private double streak;
+    private double consecutiveFailures;
     private long reportAt = Long.MIN_VALUE;
-    private final Fading all = new Fading(RATE_US);
+    private final DecayingValue all = new DecayingValue(RATE_US);
     private final long startedAt;
-    private double budget = BUDGET_FIRST;
+    private double retryBudget = RETRY_BUDGET_FIRST;
     private double meanUs;
     private double devUs;
-    private final LongMap<Open> open = new LongMap<>();
+    private final LongMap<InFlightRequest> open = new LongMap<>();
     private final Fleet fleet;
-    private final Fading originChance = new Fading(NODE_FADE_US);
-    private final Fading thrift = new Fading(THRIFT_FADE_US);
+    private final DecayingValue originChance = new DecayingValue(NODE_FADE_US);
+    private final DecayingValue idleCut = new DecayingValue(IDLE_CUT_FADE_US);
     private boolean subscribed;
     /** The watch that was subscribed to has told something. */
     private boolean watched;
     private int askFailures;
 
-    public Choice(Settings settings, long seed, long nowUs, Actions out) {
+    public RoutingPolicy(Settings settings, long seed, long nowUs, Actions out) {
         settings.check();
         set = settings;
         attemptsMost = Math.min(ATTEMPTS_MOST, settings.maxAttempts);
@@ -143,12 +143,12 @@
         startedAt = nowUs;
         live = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
         shadow = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
-        heat = new Blue(LEVELS, HEAT_BUCKETS, HEAT_US, random.next());
+        hotKeys = new Blue(LEVELS, HOT_KEY_BUCKETS, HOT_KEY_US, random.next());
         rotateAt = nowUs + (long) (ROTATE_US * (0.5 + 0.5 * random.unit()));
         fleet = new Fleet(settings);
         leastWorth = Math.max(1e-6, Arrays.stream(set.classes).mapToDouble(c -> c.worth).min().orElse(1));
-        asked = Fading.array(Math.max(1, settings.tenants.length), RATE_US);
-        admitted = Fading.array(asked.length, RATE_US);
+        asked = DecayingValue.array(Math.max(1, settings.tenants.length), RATE_US);
+        admitted = DecayingValue.array(asked.length, RATE_US);
         if (settings.askForNodes) {
             // a thousand proxies starting together would swamp discovery: each takes its own moment
             double spread = Math.min(ASK_SPREAD * settings.askWithinUs, ASK_US_PER_ROUTER * settings.routers);
@@ -210,11 +210,11 @@
         }
         admitted[tenant].count(now);
         int type = Math.max(0, Math.min(q.requestClass, set.classes.length - 1));
-        Open r = new Open(q, set.classes[type], tenant, now);
+        InFlightRequest r = new InFlightRequest(q, set.classes[type], tenant, now);
         open.put(r.id, r);
         if (r.key != 0) {
-            heat.add(r.key, 1, Double.MAX_VALUE, now);
-            heatCount.count(now);
+            hotKeys.add(r.key, 1, Double.MAX_VALUE, now);
+            hotKeyCount.count(now);
         }
         start(r, now, out);
     }
@@ -223,7 +223,7 @@
     private void report(long now, String what, Actions out) {
         if (now >= reportAt) {
             reportAt = now + REPORT_EVERY_US;
-            out.log(String.format(REPORT, what, originChance.get(now), streak, askFailures));
+            out.log(String.format(REPORT, what, originChance.get(now), consecutiveFailures, askFailures));
         }
     }
 
@@ -234,33 +234,34 @@
 
     // ---- choosing a node ----
 
-    private void start(Open r, long now, Actions out) {
+    private void start(InFlightRequest r, long now, Actions out) {
         if (set.aside && r.write) {
             sendToOrigin(r, now, out);
         } else {
             send(r, choose(r, now), now, out);
         }
-        if (!r.done && set.secondCopies) {
+        if (!r.done && set.hedging) {
             double aim = r.type.aimUs;
-            double wait = Math.max(COPY_SOONEST * aim, Math.min(COPY_LATEST * aim, meanUs + 4 * devUs));
-            out.timer((long) wait, r.id << 3 | TIMER_COPY);
+            double wait = Math.max(HEDGE_SOONEST * aim, Math.min(HEDGE_LATEST * aim, meanUs + 4 * devUs));
+            out.timer((long) wait, r.id << 3 | TIMER_HEDGE);
         }
     }
 
     /** Two hashed candidates and the one clearly less busy with our own requests; else the first. */
-    private Target choose(Open r, long now) {
+    private Backend choose(InFlightRequest r, long now) {
         long key = r.key != 0 ? r.key : random.next();
-        int copies = r.key != 0 ? hotCopies(r.key, now) : 1;
+        int copies = r.key != 0 ? hotReplicas(r.key, now) : 1;
         r.hot = copies > 1;
         if (copies > 1) {
             key ^= (long) (random.unit() * copies) << 48;
         }
-        Target[] ranked = fleet.rank(key, RANKED);
-        Target best = null;
+        Backend[] ranked = fleet.rendezvous(key, RANKED);
+        Backend best = null;
         int seen = 0;
         for (int i = 0; i < ranked.length && ranked[i] != null && seen < CHOICES; i++) {
-            Target t = ranked[i];
-            if (!r.tried(t) && mayResend(r, t, now) && admits(t, r, key, now) && !passedOver(t, key, now)) {
+            Backend t = ranked[i];
+            boolean may = !r.tried(t) && mayResend(r, t, now);
+            if (may && slowStartAdmits(t, r, key, now) && !ejected(t, key, now)) {
                 best = seen++ == 0 || lessBusy(t, best, now) ? t : best;
             }
         }
@@ -268,24 +269,26 @@
     }
 
     /** Clearly fewer of our own in flight; with few a proxy most are ties, which reported load decides. */
-    private static boolean lessBusy(Target t, Target best, long now) {
+    private static boolean lessBusy(Backend t, Backend best, long now) {
         int fewer = best.inFlight - t.inFlight;
         return fewer >= CLEARLY_FEWER || fewer == 0 && best.busy.get(now) > t.busy.get(now) + BUSY_TIE;
     }
 
     /** Hot keys: only a key that alone would overfill its nodes is spread, over as many pairs as it needs. */
-    private int hotCopies(long key, long now) {
-        double all = heatCount.get(now);
-        double before = heat.min(key, now) - 1 - all / HEAT_BUCKETS; // less this one and chance collisions
+    private int hotReplicas(long key, long now) {
+        double all = hotKeyCount.get(now);
+        // less this one and chance collisions
+        double before = hotKeys.min(key, now) - 1 - all / HOT_KEY_BUCKETS;
         double copies = before < HOT_SEEN ? 1 : 1 + before / all * fleet.readyCount / HOT_SHARE;
         return (int) Math.min(fleet.readyCount, copies);
     }
 
     /**
-     * Cold nodes: every proxy admits the same growing set of keys, so that the sum stays within what a node
-     * warming up can do. Hot keys and further attempts stay away: they would come on top of that budget.
+     * Slow start of cold nodes: every proxy admits the same growing set of keys, so that the sum stays within
+     * what a node warming up can do. Hot keys and further attempts stay away: they would come on top of
+     * that budget.
      */
-    private boolean admits(Target t, Open r, long key, long now) {
+    private boolean slowStartAdmits(Backend t, InFlightRequest r, long key, long now) {
         if (t.startedUs == Long.MIN_VALUE || now - t.startedUs >= set.coldUs) {
             return true;
         } else if (r.hot || r.attempts > 0) {
@@ -298,20 +301,20 @@
     }
 
     /**
-     * A node is passed over by how far its chance is above the others', and still gets trials: where all are
-     * slow, moving a key gains nothing and costs a fetch. The hash draws the lot, so that proxies move the
-     * same keys first and these are kept in one other place.
+     * Outlier ejection: a node is passed over by how far its chance is above the others', and still gets
+     * trials: where all are slow, moving a key gains nothing and costs a fetch. The hash draws the lot, so
+     * that proxies move the same keys first and these are kept in one other place.
      */
-    private boolean passedOver(Target t, long key, long now) {
+    private boolean ejected(Backend t, long key, long now) {
         double own = t.chance.get(now);
         double others = own > 0 ? fleet.meanChanceBut(t, now) : 0;
         double chance = (own - others) / (1 - others);
         return chance > 0 && Blue.unit(Blue.mix(key - 31 * Blue.mix(t.id))) < chance;
     }
 
-    private Target origin() {
-        Target best = null;
-        for (Target t : fleet.origins) {
+    private Backend origin() {
+        Backend best = null;
+        for (Backend t : fleet.origins) {
             if (best == null || t.inFlight < best.inFlight) {
                 best = t;
             }
@@ -322,7 +325,7 @@
     // ---- attempts ----
 
     /** No repeated effect: whether another attempt may go to this node now. */
-    private boolean mayResend(Open r, Target t, long now) {
+    private boolean mayResend(InFlightRequest r, Backend t, long now) {
         RequestClass c = r.type;
         if (c.effect == Effect.SAFE || r.mayHaveRun == 0) {
             return true;
@@ -335,7 +338,7 @@
         if (now - r.sentAt[first] >= c.repeatWindowUs - 2 * set.tickUs - set.dialTimeoutUs) {
             return false;
         }
-        Target ran = r.node[first];
+        Backend ran = r.node[first];
         return switch (c.group) {
             case ALL -> true;
             case ZONE -> ran.zone == t.zone;
@@ -344,17 +347,17 @@
     }
 
     /** No repeated effect: a refusal promises that trying again is harmless. */
-    private boolean mayRefuse(Open r) {
+    private boolean mayRefuse(InFlightRequest r) {
         return r.type.effect == Effect.SAFE || r.mayHaveRun == 0
                 || r.type.effect == Effect.KEYED && r.type.group == Group.ALL;
     }
 
     /** When waiting on stops being worth anything: the aim where late answers earn nothing, else when due. */
-    private long giveUpAt(Open r) {
+    private long giveUpAt(InFlightRequest r) {
         return r.type.lateWorth > 0 ? r.due : Math.min(r.due, r.arrived + r.type.aimUs - 2 * set.tickUs);
     }
 
-    private void send(Open r, Target t, long now, Actions out) {
+    private void send(InFlightRequest r, Backend t, long now, Actions out) {
         long left = giveUpAt(r) - now;
         if (t == null || left <= 0 || r.attempts >= attemptsMost) {
             if (r.out == 0) {
@@ -372,17 +375,17 @@
 
     /** How long a connection may idle before it is no longer trusted. */
     private double idleLimit(long now) {
-        return set.idleCloseUs * Math.exp(-thrift.get(now));
+        return set.idleCloseUs * Math.exp(-idleCut.get(now));
     }
 
     /**
-     * Connections: silence on one that had idled (dropped unseen), or a node that answers and yet takes no
-     * new ones (all its places held by idle ones) shortens the time that any may idle. One that would be
-     * closed before its next use is closed at once, which leaves room for others; where handshakes have a
-     * price, not before such failures were seen.
+     * The adaptive idle time-out: silence on a connection that had idled (dropped unseen), or a node that
+     * answers and yet takes no new ones (all its places held by idle ones) shortens the time that any may
+     * idle. One that would be closed before its next use is closed at once, which leaves room for others;
+     * where handshakes have a price, not before such failures were seen.
      */
-    private void released(Open r, int attempt, Outcome o, long now, Actions out) {
-        Target t = r.node[attempt];
+    private void released(InFlightRequest r, int attempt, Outcome o, long now, Actions out) {
+        Backend t = r.node[attempt];
         double limit = idleLimit(now);
         if (fleet.isOrigin(t)) {
             return; // one that all share: a handshake there costs the most when it is slow
@@ -393,10 +396,10 @@
             t.idleSince = Long.MIN_VALUE;
         } else {
             if (o == Outcome.OK && r.idledUs[attempt] > limit / 4) {
-                thrift.add(-THRIFT_STEP, THRIFT_MOST, now);
+                idleCut.add(-IDLE_CUT_STEP, IDLE_CUT_MOST, now);
             }
             if (o == Outcome.OK && t.refusedAt != Long.MIN_VALUE) {
-                thrift.add(now - t.refusedAt < FULL_US ? THRIFT_STEP : 0, THRIFT_MOST, now);
+                idleCut.add(now - t.refusedAt < FULL_US ? IDLE_CUT_STEP : 0, IDLE_CUT_MOST, now);
                 t.refusedAt = Long.MIN_VALUE;
             }
             t.idleSince = now;
@@ -407,32 +410,32 @@
         }
     }
 
-    private static void closeIdle(Target t, Actions out) {
+    private static void closeIdle(Backend t, Actions out) {
         t.idleSince = Long.MIN_VALUE;
         out.closeIdle(t.id);
     }
 
-    private void sendToOrigin(Open r, long now, Actions out) {
+    private void sendToOrigin(InFlightRequest r, long now, Actions out) {
         double chance = originChance.get(now);
         // what is worth more goes on longer: each class meets the chance to the power of its worth
         boolean refused = chance > 0 && random.unit() < Math.pow(chance, r.type.worth / leastWorth);
-        Target t = refused ? null : origin();
+        Backend t = refused ? null : origin();
         t = t == null || mayResend(r, t, now) ? t : null; // an earlier attempt of a missed read may have run
         r.atOrigin |= t != null;
         send(r, t, now, out);
     }
 
     /** Trouble is not multiplied: further attempts are paid from what ordinary requests have earned. */
-    private void retry(Open r, double price, long now, Actions out) {
+    private void retry(InFlightRequest r, double price, long now, Actions out) {
         boolean toOrigin = set.aside && r.write;
-        price = r.out != 0 ? COPY_PRICE : price;
-        boolean may = budget >= price && giveUpAt(r) > now && (r.out == 0 || set.secondCopies);
-        Target t = !may || r.attempts >= attemptsMost ? null : toOrigin ? origin() : choose(r, now);
+        price = r.out != 0 ? HEDGE_PRICE : price;
+        boolean may = retryBudget >= price && giveUpAt(r) > now && (r.out == 0 || set.hedging);
+        Backend t = !may || r.attempts >= attemptsMost ? null : toOrigin ? origin() : choose(r, now);
         if (t == null || !mayResend(r, t, now)) {
             send(r, null, now, out);
             return;
         }
-        budget -= price;
+        retryBudget -= price;
         if (toOrigin) {
             sendToOrigin(r, now, out);
         } else {
@@ -440,7 +443,7 @@
         }
     }
 
-    private void finish(Open r, long now, Actions out) {
+    private void finish(InFlightRequest r, long now, Actions out) {
         if (r.done) {
             return;
         }
@@ -452,7 +455,7 @@
         conclude(r, out);
     }
 
-    private void conclude(Open r, Actions out) {
+    private void conclude(InFlightRequest r, Actions out) {
         for (int i = 0; i < r.attempts && set.mayCancel && !r.done; i++) {
             if (r.isOut(i)) {
                 out.cancel(r.id, i);
@@ -469,11 +472,11 @@
     @Override
     public void onOutcome(long now, long id, int attempt, Outcome o, long latency, boolean concluded,
             CacheNote note, Report report, Actions out) {
-        Open r = open.get(id);
+        InFlightRequest r = open.get(id);
         if (r == null || !r.isOut(attempt)) {
             return;
         }
-        Target t = r.node[attempt];
+        Backend t = r.node[attempt];
         r.ended(attempt, o.neverRan);
         released(r, attempt, o, now, out);
         if (report.busy >= 0) {
@@ -495,8 +498,8 @@
         }
     }
 
-    private void learn(Open r, Target t, boolean fromOrigin, Outcome o, CacheNote note, long latency,
-            long now) {
+    private void learn(InFlightRequest r, Backend t, boolean fromOrigin, Outcome o, CacheNote note,
+            long latency, long now) {
         boolean good = o == Outcome.OK || o == Outcome.MISS;
         boolean late = good && now - r.arrived > r.type.aimUs;
         // an error line may bear no note; a node that fails by itself does so at once
@@ -516,13 +519,15 @@
             meanUs += (latency - meanUs) / 8;
         }
         if (o == Outcome.OK) {
-            budget = Math.min(BUDGET_MOST, budget + BUDGET_EARN);
+            retryBudget = Math.min(RETRY_BUDGET_MOST, retryBudget + RETRY_BUDGET_EARN);
         }
         if (!r.done) {
             boolean failed = late || o == Outcome.TIMEOUT || o == Outcome.OVERLOADED
                     || o == Outcome.ERROR && !set.aside;
-            streak = fromOrigin ? streak : failed ? streak + 1 : o == Outcome.OK ? 0 : streak;
-            double fade = TENANT_FADE_US * Math.min(FADE_MOST, 1 + streak / STREAK_TELLS);
+            if (!fromOrigin && (failed || o == Outcome.OK)) {
+                consecutiveFailures = failed ? consecutiveFailures + 1 : 0;
+            }
+            double fade = TENANT_FADE_US * Math.min(FADE_MOST, 1 + consecutiveFailures / CONSECUTIVE_TELLS);
             live.fadeIn(fade);
             shadow.fadeIn(fade);
             // blame: the origin's failures are its own first; so are a node's that fails more than others do,
@@ -541,20 +546,21 @@
         return all.get(now) / (RATE_US * (1 - Math.exp((startedAt - now) / RATE_US)) + 1e6) * 1e6;
     }
 
-    private void nodeEvidence(Target t, boolean failure, double weight, long now) {
+    private void nodeEvidence(Backend t, boolean failure, double weight, long now) {
         double rate = rate(now) / Math.max(1, fleet.readyCount);
         step(t.chance, failure, rate, weight, now);
         t.chance.fadeIn(Math.max(NODE_FADE_US, Math.min(NODE_FADE_MOST_US, NODE_FADE_VISITS / rate * 1e6)));
     }
 
     /** BLUE for a single bucket; quiet proxies take larger steps. */
-    private static void step(Fading chance, boolean failure, double rate, double weight, long now) {
+    private static void step(DecayingValue chance, boolean failure, double rate, double weight, long now) {
         double step = Math.max(NODE_PI, Math.min(NODE_PI_MOST, 1 / (rate * NODE_EVIDENCE_S + 1e-9)));
         chance.add(failure ? step * weight : -step * NODE_PD_SHARE, CHANCE_MOST, now);
     }
 
     /** FAIR's two steps, on the live and the shadow table; a request counts as one failure at most. */
-    private void tenantEvidence(Open r, boolean failure, boolean success, double share, long now) {
+    private void tenantEvidence(InFlightRequest r, boolean failure, boolean success, double share,
+            long now) {
         if (failure ? r.blamed : !success) {
             return;
         }
@@ -573,7 +579,7 @@
     private double overQuota(int tenant, long now) {
         double ratio = quotaRatio(tenant, now) / Math.max(1e-3, meanRatio);
         double demand = Math.min(1, meanRatio);
-        double certain = Math.min(STREAK_MOST, streak / STREAK_TELLS);
+        double certain = Math.min(CONSECUTIVE_MOST, consecutiveFailures / CONSECUTIVE_TELLS);
         return Math.min(QUOTA_MOST, ratio * ratio) * Math.max(demand * demand, certain);
     }
 
@@ -589,7 +595,7 @@
 
     @Override
     public void onStreaming(long now, long id, int attempt, Actions out) {
-        Open r = open.get(id);
+        InFlightRequest r = open.get(id);
         if (r != null) {
             r.done = true; // the attempt belongs to the client: nothing else is sent, and nothing answered
         }
@@ -597,7 +603,7 @@
 
     @Override
     public void onAborted(long now, long id, Actions out) {
-        Open r = open.get(id);
+        InFlightRequest r = open.get(id);
         if (r != null && !r.done) {
             conclude(r, out);
         }
@@ -606,30 +612,30 @@
     @Override
     public void onTimer(long now, long label, Actions out) {
         int kind = (int) label & 7;
-        Open r = kind == TIMER_ASK ? null : open.get(label >>> 3);
+        InFlightRequest r = kind == TIMER_ASK ? null : open.get(label >>> 3);
         if (kind == TIMER_ASK && !subscribed) {
             subscribed = true;
             out.subscribe();
         } else if (r == null || r.done) {
             return;
-        } else if (kind == TIMER_COPY && r.out != 0 && r.write && r.atOrigin && r.attempts == 1) {
+        } else if (kind == TIMER_HEDGE && r.out != 0 && r.write && r.atOrigin && r.attempts == 1) {
             // a write still out tells of a slow origin before its time-out, which would be too late
             step(originChance, true, rate(now) * ORIGIN_PART, ORIGIN_WEIGHT * SOFT, now);
-        } else if (kind == TIMER_COPY && r.out != 0 && !r.atOrigin) {
+        } else if (kind == TIMER_HEDGE && r.out != 0 && !r.atOrigin) {
             // slow compared with others: without this a node whose copies win elsewhere is never blamed;
             // in full where visits are rare: at one a second, half left a node its keys for many more. Where
             // they are frequent, full steps move keys that all nodes then fetch, and the origin is choked
             double soft = Math.max(SOFT, Math.min(1, fleet.readyCount / rate(now)));
             int first = Integer.numberOfTrailingZeros(r.out);
-            Target slow = r.node[first];
-            // a copy is due for the sake of the aim, which may be close to what answers usually take
+            Backend slow = r.node[first];
+            // a hedge is due for the sake of the aim, which may be close to what answers usually take
             boolean unusual = now - r.arrived >= meanUs + 4 * devUs;
-            if (unusual && r.idledUs[first] > set.idleCloseUs * Math.exp(-THRIFT_MOST) / 4) {
-                thrift.add(THRIFT_STEP, THRIFT_MOST, now);
+            if (unusual && r.idledUs[first] > set.idleCloseUs * Math.exp(-IDLE_CUT_MOST) / 4) {
+                idleCut.add(IDLE_CUT_STEP, IDLE_CUT_MOST, now);
                 closeIdle(slow, out);
             }
-            nodeEvidence(slow, true, soft * Math.min(1, r.waited(now - r.arrived) / COPY_SOONEST), now);
-            retry(r, COPY_PRICE, now, out);
+            nodeEvidence(slow, true, soft * Math.min(1, r.waited(now - r.arrived) / HEDGE_SOONEST), now);
+            retry(r, HEDGE_PRICE, now, out);
         }
     }
 
--- a/src/main/java/holdproxy/SettingsText.java
+++ b/src/main/java/holdproxy/SettingsText.java
@@ -48,7 +48,7 @@
         s.askForNodes = word("registryMode", "automatic", "automatic", "subscribe").equals("subscribe");
         s.mayCancel = flag("caps.mayCancel");
         s.mayProbe = flag("caps.probing");
-        s.secondCopies = flag("caps.secondCopies");
+        s.hedging = flag("caps.hedging");
         s.retryAfter = flag("caps.retryAfter");
         s.maxRetryAfterUs = micros("caps.maxRetryAfterMs", 0);
         s.maxAttempts = integer("caps.maxAttempts", 1, 1);
--- a/src/main/java/holdproxy/SimHost.java
+++ b/src/main/java/holdproxy/SimHost.java
@@ -146,7 +146,7 @@
         Instance instance = new Instance();
         instance.reportFields = text.reportFields();
         try {
-            instance.router = new Choice(settings, seed, now, reply);
+            instance.router = new RoutingPolicy(settings, seed, now, reply);
         } catch (IllegalArgumentException e) {
             throw new BadInput("settings of instance " + number + ": " + e.getMessage());
         }
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -40,7 +40,7 @@
         this.loop = loop;
         classes = config.settings.classes;
         // an attempt given up on a shared connection stays out: where no second copy may be, none is shared
-        streams = config.settings.secondCopies ? config.settings.streamsPerConnection : 1;
+        streams = config.settings.hedging ? config.settings.streamsPerConnection : 1;
         idleUs = config.settings.idleCloseUs - config.settings.idleCloseUs / IDLE_SHARE;
         // drains: what waits for a connection must be written within the grace of a change told meanwhile
         long dialUs = config.settings.dialTimeoutUs > 0 ? config.settings.dialTimeoutUs : 1_000_000;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -1,7 +1,7 @@
 package holdproxy.net;
 
 import holdproxy.BadInput;
-import holdproxy.Choice;
+import holdproxy.RoutingPolicy;
 import holdproxy.Router;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -106,7 +106,7 @@
         pools = new NodePools(this, config, loop, log, left - mostSessions - Admission.MOST_REFUSING);
         discovery = new Discovery(this, config, loop, log);
         // last: it sets timers at once, and a proxy that can't start for a bad list must call nobody
-        router = new Choice(config.settings, config.seed, now(), this);
+        router = new RoutingPolicy(config.settings, config.seed, now(), this);
     }
 
     /** Runs a proxy until SIGTERM. */
--- a/src/main/java/holdproxy/net/Warmup.java
+++ b/src/main/java/holdproxy/net/Warmup.java
@@ -1,6 +1,6 @@
 package holdproxy.net;
 
-import holdproxy.Choice;
+import holdproxy.RoutingPolicy;
 import holdproxy.Router;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -28,13 +28,13 @@
     private void rounds(Proxy proxy, Config config, Command.Names names) {
         Budget budget = new Budget(1 << 20);
         Router.Settings settings = config.settings;
-        Choice choice = new Choice(settings, config.seed, 0, this);
+        RoutingPolicy policy = new RoutingPolicy(settings, config.seed, 0, this);
         Router.Node[] nodes = new Router.Node[8];
         for (int i = 0; i < nodes.length; i++) {
             nodes[i] = new Router.Node();
             nodes[i].id = i;
         }
-        choice.onNodes(0, Router.ListKind.FULL, nodes, nodes.length, this);
+        policy.onNodes(0, Router.ListKind.FULL, nodes, nodes.length, this);
         String tenant = settings.tenants.length > 0 ? ",t=" + settings.tenants[0].name : "";
         String command = "mg 0123456789abcdef v O%d Pc=" + settings.classes[0].name + tenant + ",d=100\r\n";
         Router.Request request = new Router.Request();
@@ -54,14 +54,14 @@
                 request.id = i;
                 request.dueUs = now + STEP_US;
                 request.key = i;
-                choice.onRequest(now, request, this);
+                policy.onRequest(now, request, this);
             }
             EmbeddedChannel server = new EmbeddedChannel(new Answer.Decoder(budget));
             server.writeInbound(bytes("VA 5 O" + i + " h1 Lutil=0.5\r\nhello\r\n"));
             if (server.readInbound() instanceof Answer a) {
                 a.report(report);
                 a.encode().release();
-                choice.onOutcome(now + STEP_US, i, 0, Router.Outcome.OK, STEP_US, true, a.note, report, this);
+                policy.onOutcome(now + STEP_US, i, 0, Router.Outcome.OK, STEP_US, true, a.note, report, this);
             }
             reader.finishAndReleaseAll();
             server.finishAndReleaseAll();
--- a/src/test/java/holdproxy/BusyProxyTest.java
+++ b/src/test/java/holdproxy/BusyProxyTest.java
@@ -12,7 +12,7 @@
     /** Requests at 200 a second for 20 s, every so many of which end at first as said; how many are refused. */
     private static int refused(int oneIn, Router.Outcome bad) {
         Fixture f = new Fixture();
-        Choice p = f.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = f.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         for (int i = 1; i <= 4000; i++) {
             long now = i * 5 * MS;
             int sentBefore = f.sent.size();
@@ -47,7 +47,7 @@
         Fixture f = new Fixture();
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.idleCloseUs = 600 * S;
-        Choice p = f.choice(s, 1, Fixture.nodes(1));
+        RoutingPolicy p = f.choice(s, 1, Fixture.nodes(1));
         for (int i = 1; i < 200; i++) {
             long now = i * 100 * MS;
             f.timers.clear();
--- a/src/test/java/holdproxy/EmbeddingExampleTest.java
+++ b/src/test/java/holdproxy/EmbeddingExampleTest.java
@@ -19,7 +19,7 @@
         private long nowUs;
 
         TinyProxy(Router.Settings settings, long seed) {
-            router = new Choice(settings, seed, 0, this);
+            router = new RoutingPolicy(settings, seed, 0, this);
         }
 
         void list(Router.Node... nodes) {
--- a/src/test/java/holdproxy/Fixture.java
+++ b/src/test/java/holdproxy/Fixture.java
@@ -33,7 +33,7 @@
         s.tenants = new Router.Tenant[] {new Router.Tenant(), new Router.Tenant()};
         s.routers = 4;
         s.maxAttempts = 4;
-        s.secondCopies = true;
+        s.hedging = true;
         s.mayCancel = true;
         s.retryAfter = true;
         s.maxRetryAfterUs = 2 * S;
@@ -65,14 +65,14 @@
         return q;
     }
 
-    Choice choice(Router.Settings s, long seed, Router.Node... nodes) {
-        Choice p = new Choice(s, seed, 0, this);
+    RoutingPolicy choice(Router.Settings s, long seed, Router.Node... nodes) {
+        RoutingPolicy p = new RoutingPolicy(s, seed, 0, this);
         p.onNodes(0, Router.ListKind.CACHED, nodes, nodes.length, this);
         return p;
     }
 
     /** Reports how the request's attempt ended, as the caller does; an OK concludes. */
-    void outcome(Choice p, long now, long id, int attempt, Router.Outcome o) {
+    void outcome(RoutingPolicy p, long now, long id, int attempt, Router.Outcome o) {
         p.onOutcome(now, id, attempt, o, 10 * MS, o == Router.Outcome.OK, Router.CacheNote.NONE, new Router.Report(), this);
     }
 
@@ -81,7 +81,7 @@
     }
 
     /** Fires the timers asked for so far. */
-    void fire(Choice p, long now) {
+    void fire(RoutingPolicy p, long now) {
         List<long[]> due = new ArrayList<>(timers);
         timers.clear();
         for (long[] t : due) {
--- a/src/test/java/holdproxy/FleetTest.java
+++ b/src/test/java/holdproxy/FleetTest.java
@@ -32,7 +32,7 @@
         Fleet fleet = new Fleet(Fixture.settings(Router.Effect.SAFE));
         fleet.apply(Router.ListKind.FULL, new Router.Node[] {node(1, Router.NodeState.READY)}, 1);
         fleet.ready[0].inFlight++;
-        Target out = fleet.ready[0];
+        Backend out = fleet.ready[0];
         fleet.apply(Router.ListKind.DELTA, new Router.Node[] {node(1, Router.NodeState.GONE)}, 1);
         assertEquals(1, fleet.known());
         assertEquals(0, fleet.readyCount);
--- a/src/test/java/holdproxy/HostileEventsTest.java
+++ b/src/test/java/holdproxy/HostileEventsTest.java
@@ -32,7 +32,7 @@
     private static final class Proxy implements Router.Actions {
         final SplitMix dice;
         final Router.Settings settings;
-        Choice choice;
+        RoutingPolicy choice;
         final Map<Long, Life> lives = new HashMap<>();
         final List<Attempt> out = new ArrayList<>();
         final List<long[]> timers = new ArrayList<>();
@@ -49,11 +49,11 @@
                     Router.Effect.KEYED);
             settings.classes[3].group = dice.below(2) == 0 ? Router.Group.ZONE : Router.Group.CELL;
             settings.classes[0].lateWorth = dice.below(2) / 2.0;
-            settings.secondCopies = dice.below(4) > 0;
+            settings.hedging = dice.below(4) > 0;
             settings.askForNodes = dice.below(2) > 0;
             settings.aside = aside;
             settings.originKind = aside ? 5 : -1;
-            choice = new Choice(settings, seed, 0, this);
+            choice = new RoutingPolicy(settings, seed, 0, this);
             for (int i = 1; i <= 12; i++) {
                 Router.Node n = Fixture.node(i);
                 n.zone = i % 3;
@@ -101,7 +101,7 @@
             timers.clear();
             owesList = false;
             firstOfLife = seed;
-            choice = new Choice(settings, seed, now, this);
+            choice = new RoutingPolicy(settings, seed, now, this);
             list(Router.ListKind.CACHED, nodes.values().toArray(new Router.Node[0]));
         }
 
@@ -174,7 +174,7 @@
             assertTrue(now < life.request.dueUs, "nothing is sent when the client has given up");
             assertEquals(Router.NodeState.READY, nodes.get(node).state, "drains are kept");
             assertTrue(life.attempts.size() < settings.maxAttempts, "attempts are limited");
-            assertTrue(life.out == 0 || settings.secondCopies, "second copies only where allowed");
+            assertTrue(life.out == 0 || settings.hedging, "second copies only where allowed");
             if (settings.aside && nodes.get(node).kind != 5) {
                 assertTrue(!life.request.write, "aside writes go to the origin");
             }
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** FAIR's parts, each alone, and the departures from it that the comments in Choice name. */
+/** FAIR's parts, each alone, and the departures from it that the comments in RoutingPolicy name. */
 class MechanismTest {
     private static final long MS = Fixture.MS;
     private static final long S = Fixture.S;
@@ -42,7 +42,7 @@
 
     @Test
     void timeOutsOfATenantLeadToRefusalsWithAdviceAndFadeAway() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         failMany(p, 60, 0);
         int before = out.refused.size();
         int refused = offer(p, 1000, 50, 0, 2 * S);
@@ -54,7 +54,7 @@
 
     @Test
     void anotherTenantIsNotRefusedForIt() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         failMany(p, 60, 0);
         Router.Request q = Fixture.request(5000, 77, 3 * S);
         q.tenant = 1;
@@ -66,7 +66,7 @@
     @Test
     void rotationKeepsWhatTheShadowHasLearnt() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
-        Choice p = out.choice(s, 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(s, 1, Fixture.nodes(8));
         for (int second = 0; second < 130; second++) { // two rotations: by 60 s, and 60 s later
             failMany(p, 50, second * S);
             if (second >= 10) {
@@ -81,7 +81,7 @@
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.tenants[0].quotaPerS = 4;
         s.tenants[1].quotaPerS = 400;
-        Choice p = out.choice(s, 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(s, 1, Fixture.nodes(8));
         int[] refusals = new int[2];
         for (int i = 0; i < 600; i++) {
             Router.Request q = Fixture.request(i, 1000 + i, 0);
@@ -102,7 +102,7 @@
 
     @Test
     void aKeyStaysAtItsFirstCacheAndTheLessBusyOfTwoIsTaken() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         Set<Integer> met = new HashSet<>();
         for (int i = 0; i < 3; i++) {
             p.onRequest(i * 100 * S, Fixture.request(i, 42, (i + 1) * 100 * S), out);
@@ -110,7 +110,7 @@
             out.outcome(p, i * 100 * S + MS, i, 0, Router.Outcome.OK);
         }
         assertEquals(1, met.size(), "nothing in flight: affinity");
-        for (int i = 0; i < Choice.CLEARLY_FEWER; i++) {
+        for (int i = 0; i < RoutingPolicy.CLEARLY_FEWER; i++) {
             p.onRequest((400 + 40 * i) * S, Fixture.request(10 + i, 42, 900 * S), out);
             met.add(out.lastNode());
         }
@@ -122,7 +122,7 @@
     /** r6637: each key was kept in both its caches, and the origin fell under what then was missed. */
     @Test
     void aHitThatTookLongIsNoReportOfLoadAndMovesNoKey() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         Set<Integer> met = new HashSet<>();
         for (int i = 0; i < 3; i++) {
             long now = i * 5 * S;
@@ -141,7 +141,7 @@
 
     @Test
     void tiesInFlightGoToTheCandidateThatReportsLessLoad() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         p.onRequest(0, Fixture.request(1, 42, S), out);
         int first = out.lastNode();
         Router.Report report = new Router.Report();
@@ -153,7 +153,7 @@
 
     @Test
     void aHotKeyIsWidenedBeyondTwoCachesAndOthersAreNot() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(20));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(20));
         Set<Integer> hot = new HashSet<>();
         Set<Integer> cold = new HashSet<>();
         for (int i = 0; i < 400; i++) {
@@ -170,7 +170,7 @@
 
     @Test
     void aFailingNodeIsPassedOverAndStillTried() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         p.onRequest(0, Fixture.request(1, 42, S), out);
         int first = out.lastNode();
         out.outcome(p, 0, 1, 0, Router.Outcome.OK);
@@ -190,7 +190,7 @@
 
     @Test
     void furtherAttemptsAreLimitedByABudgetThatOnlySuccessesFill() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         for (int i = 0; i < 100; i++) {
             p.onRequest(i * MS, Fixture.request(i, 1 + i, i * MS + S), out);
             for (int a = 0; out.sent.get(out.sent.size() - 1).request() == i && a < 4; a++) {
@@ -206,7 +206,7 @@
     void whatNodesTurnAwayIsSentOnAsWhereConnectionsBreak() {
         for (Router.Outcome o : new Router.Outcome[] {Router.Outcome.OVERLOADED, Router.Outcome.CONNECT_FAILED}) {
             Fixture f = new Fixture();
-            Choice p = f.choice(Fixture.settings(Router.Effect.UNSAFE), 1, Fixture.nodes(8));
+            RoutingPolicy p = f.choice(Fixture.settings(Router.Effect.UNSAFE), 1, Fixture.nodes(8));
             for (int i = 0; i < 4; i++) {
                 p.onRequest(i * MS, Fixture.request(i, 1 + i, i * MS + S), f);
                 f.outcome(p, i * MS, i, 0, o);
@@ -220,7 +220,7 @@
     void withoutKeyOrTenantAndWithAnEmptyListItStillAnswers() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.tenants = new Router.Tenant[0];
-        Choice p = out.choice(s, 1);
+        RoutingPolicy p = out.choice(s, 1);
         p.onRequest(0, Fixture.request(1, 0, S), out);
         assertEquals(1, out.refused.size(), "nowhere to send: refused at once");
         p.onNodes(0, Router.ListKind.DELTA, Fixture.nodes(3), 3, out);
@@ -242,7 +242,7 @@
             moments.add(at / S);
         }
         assertTrue(moments.size() >= 6, "spread over seconds: " + moments);
-        Choice p = out.choice(s, 3, Fixture.nodes(2));
+        RoutingPolicy p = out.choice(s, 3, Fixture.nodes(2));
         out.fire(p, 8 * S);
         assertEquals(1, out.subscribes);
         p.onNodes(9 * S, Router.ListKind.FAILED, new Router.Node[0], 0, out);
@@ -258,7 +258,7 @@
     void whereListsArePushedAFailedCallIsMadeAgainWithinTheGraceForDrains() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.drainGraceUs = S / 2;
-        Choice p = out.choice(s, 3, Fixture.nodes(2));
+        RoutingPolicy p = out.choice(s, 3, Fixture.nodes(2));
         for (int i = 1; i <= 50; i++) {
             p.onNodes(i * S, Router.ListKind.FAILED, new Router.Node[0], 0, out);
             assertTrue(out.timers.get(0)[0] <= s.drainGraceUs * 2 / 3, "again after " + out.timers.get(0)[0]);
@@ -274,7 +274,7 @@
         s.askForNodes = true;
         for (int seed = 0; seed < 50; seed++) {
             Fixture f = new Fixture();
-            Choice p = f.choice(s, seed * 7919, Fixture.nodes(2));
+            RoutingPolicy p = f.choice(s, seed * 7919, Fixture.nodes(2));
             f.fire(p, 8 * S);
             p.onNodes(9 * S, Router.ListKind.FULL, Fixture.nodes(2), 2, f);
             p.onNodes(10 * S, Router.ListKind.FAILED, new Router.Node[0], 0, f);
@@ -293,7 +293,7 @@
         s.askForNodes = true;
         for (int seed = 0; seed < 50; seed++) {
             Fixture f = new Fixture();
-            Choice p = f.choice(s, seed * 7919, Fixture.nodes(2));
+            RoutingPolicy p = f.choice(s, seed * 7919, Fixture.nodes(2));
             f.fire(p, 8 * S);
             p.onNodes(10 * S, Router.ListKind.SILENT, new Router.Node[0], 0, f);
             assertTrue(f.timers.get(0)[0] <= S, "asked again after " + f.timers.get(0)[0]);
@@ -308,7 +308,7 @@
     void failuresRunningWithoutASuccessBringRefusalsWithinAFewRequestsEvenBelowQuota() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.tenants[0].quotaPerS = 1000; // far above what comes: blame is small until failures run
-        Choice p = out.choice(s, 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(s, 1, Fixture.nodes(8));
         failMany(p, 150, 0);
         int refused = offer(p, 1000, 50, 0, 3 * S);
         assertTrue(refused > 25, "most load is taken off: " + refused + " of 50");
@@ -317,13 +317,13 @@
     /** r6637: a slow origin made every cache slow, keys were moved about, and each move cost it a fetch. */
     @Test
     void whereAllNodesAreSlowAlikeKeysStayAtTheirCaches() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         for (int i = 0; i < 300; i++) {
             long now = i * 20 * MS;
             p.onRequest(now, Fixture.request(i, 1 + i, now + S), out);
             p.onOutcome(now, i, 0, Router.Outcome.OK, 400 * MS, true, Router.CacheNote.HIT, new Router.Report(), out);
         }
-        Choice calm = new Fixture().choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy calm = new Fixture().choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         int moved = 0;
         for (int i = 0; i < 50; i++) {
             Fixture f = new Fixture();
@@ -340,7 +340,7 @@
     /** The slow attempt of a copied request ends cancelled: its node would never be blamed. */
     @Test
     void anAttemptStillOutWhenItsCopyIsDueCountsAgainstItsNode() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(4));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(4));
         int there = 0;
         for (int i = 0; i < 300; i++) {
             long now = i * 400 * MS;
@@ -366,7 +366,7 @@
         int there = 0;
         for (int proxy = 0; proxy < 14; proxy++) {
             Fixture f = new Fixture();
-            Choice p = f.choice(Fixture.settings(Router.Effect.SAFE), proxy, Fixture.nodes(60));
+            RoutingPolicy p = f.choice(Fixture.settings(Router.Effect.SAFE), proxy, Fixture.nodes(60));
             for (int i = 0; i < 1200; i++) {
                 long now = i * 16 * MS;
                 f.timers.clear();
@@ -405,7 +405,7 @@
     /** Every other request is a hit, the others end in errors with this note, after this time. */
     private static int hitsRefused(Router.CacheNote note, long latency) {
         Fixture f = new Fixture();
-        Choice p = f.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = f.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         int refused = 0;
         for (int i = 0; i < 200; i++) {
             long now = i * 20 * MS;
@@ -427,7 +427,7 @@
     void aConnectionThatIdledAsLongAsOneThatFellSilentIsNotTrusted() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.idleCloseUs = 60 * S;
-        Choice p = out.choice(s, 1, Fixture.nodes(1));
+        RoutingPolicy p = out.choice(s, 1, Fixture.nodes(1));
         p.onRequest(0, Fixture.request(1, 1, S), out);
         out.outcome(p, MS, 1, 0, Router.Outcome.OK);
         int silent = 0;
@@ -454,7 +454,7 @@
     void whereANodeAnswersAndTakesNoMoreConnectionsNoneIsHeldIdle() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.idleCloseUs = 60 * S;
-        Choice p = out.choice(s, 1, Fixture.nodes(1));
+        RoutingPolicy p = out.choice(s, 1, Fixture.nodes(1));
         long now = 0;
         for (int i = 0; i < 40; i++) {
             now += i < 10 ? 500 * MS : 100 * MS;
@@ -478,7 +478,7 @@
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.idleCloseUs = 10 * S;
         s.handshakePrice = 0.08;
-        Choice p = out.choice(s, 1, Fixture.nodes(60));
+        RoutingPolicy p = out.choice(s, 1, Fixture.nodes(60));
         int closed = 0;
         for (int i = 0; i < 1000; i++) {
             long now = i * 20 * MS;
@@ -500,7 +500,7 @@
     void anAttemptThatTakesNoLongerThanUsualClosesNoConnection() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.idleCloseUs = 10 * S;
-        Choice p = out.choice(s, 1, Fixture.nodes(4));
+        RoutingPolicy p = out.choice(s, 1, Fixture.nodes(4));
         for (int i = 0; i < 200; i++) {
             long now = i * 400 * MS;
             long latency = (100 + 40 * (i % 4)) * MS;
@@ -522,7 +522,7 @@
         for (int seed = 1; seed <= 20; seed++) {
             for (int spread = 0; spread < 2; spread++) {
                 Fixture f = new Fixture();
-                Choice p = f.choice(Fixture.settings(Router.Effect.SAFE), seed, Fixture.nodes(8));
+                RoutingPolicy p = f.choice(Fixture.settings(Router.Effect.SAFE), seed, Fixture.nodes(8));
                 for (int i = 0; i < 300; i++) {
                     long now = i * 100 * MS;
                     int before = f.sent.size();
@@ -541,7 +541,7 @@
 
     @Test
     void aClassOrTenantOutOfRangeIsAnsweredAllTheSame() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(3));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(3));
         int[] odd = {-1, 7, Integer.MIN_VALUE, Integer.MAX_VALUE};
         for (int i = 0; i < odd.length; i++) {
             Router.Request q = Fixture.request(i, 1 + i, S);
@@ -554,7 +554,7 @@
 
     @Test
     void logLinesAreFew() {
-        Choice p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(8));
         failMany(p, 60, 0);
         offer(p, 1000, 200, 0, 2 * S);
         long lines = out.all.stream().filter(a -> a.startsWith("log refusing requests: origin chance")).count();
@@ -569,7 +569,7 @@
 
     private static java.util.List<String> run(long seed) {
         Fixture f = new Fixture();
-        Choice p = f.choice(Fixture.settings(Router.Effect.SAFE), seed, Fixture.nodes(9));
+        RoutingPolicy p = f.choice(Fixture.settings(Router.Effect.SAFE), seed, Fixture.nodes(9));
         for (int i = 0; i < 300; i++) {
             p.onRequest(i * MS, Fixture.request(i, i % 17 == 0 ? 0 : 1 + i % 23, i * MS + S), f);
             if (f.lastNode() % 3 == 0) {
@@ -579,7 +579,7 @@
         return f.all;
     }
 
-    private void failMany(Choice p, int count, long from) {
+    private void failMany(RoutingPolicy p, int count, long from) {
         for (int i = 0; i < count; i++) {
             long now = from + i * 20 * MS;
             long id = from + 100_000 + i;
@@ -590,7 +590,7 @@
     }
 
     /** Offers requests at one moment and counts those refused before any attempt. */
-    private int offer(Choice p, int firstId, int count, int tenant, long now) {
+    private int offer(RoutingPolicy p, int firstId, int count, int tenant, long now) {
         int before = out.refused.size();
         for (int i = firstId; i < firstId + count; i++) {
             Router.Request q = Fixture.request(i, 1_000_000 + i, now + 600 * MS);
--- a/src/test/java/holdproxy/ModuleLimitsTest.java
+++ b/src/test/java/holdproxy/ModuleLimitsTest.java
@@ -15,7 +15,7 @@
 
     @Test
     void theModuleHoldsAtMost800LinesAndNamesItsInterfaceAtTheTop() throws IOException {
-        List<String> lines = Files.readAllLines(SOURCES.resolve("Choice.java"));
+        List<String> lines = Files.readAllLines(SOURCES.resolve("RoutingPolicy.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 800);
         assertTrue(lines.stream().limit(12).anyMatch(l -> l.contains("Router.java")));
     }
--- a/src/test/java/holdproxy/RulesTest.java
+++ b/src/test/java/holdproxy/RulesTest.java
@@ -12,12 +12,12 @@
     private static final long S = Fixture.S;
     private final Fixture out = new Fixture();
 
-    private Choice with(Router.Effect effect) {
+    private RoutingPolicy with(Router.Effect effect) {
         return out.choice(Fixture.settings(effect), 1, Fixture.nodes(6));
     }
 
     /** Successes that pay for second copies, all before time 0. */
-    private Choice earning(Choice p) {
+    private RoutingPolicy earning(RoutingPolicy p) {
         for (long id = 1000; id < 1100; id++) {
             p.onRequest(0, Fixture.request(id, id, 600 * MS), out);
             out.outcome(p, 0, id, 0, Router.Outcome.OK);
@@ -27,14 +27,14 @@
         return p;
     }
 
-    private void request(Choice p) {
+    private void request(RoutingPolicy p) {
         p.onRequest(0, Fixture.request(1, 42, 600 * MS), out);
         assertEquals(1, out.sent.size());
     }
 
     @Test
     void safeIsResentAfterAnError() {
-        Choice p = with(Router.Effect.SAFE);
+        RoutingPolicy p = with(Router.Effect.SAFE);
         request(p);
         out.outcome(p, MS, 1, 0, Router.Outcome.ERROR);
         assertEquals(2, out.sent.size());
@@ -46,7 +46,7 @@
         for (Router.Outcome o : new Router.Outcome[] {Router.Outcome.ERROR, Router.Outcome.TIMEOUT,
             Router.Outcome.RESET, Router.Outcome.CANCELLED}) {
             Fixture f = new Fixture();
-            Choice p = f.choice(Fixture.settings(Router.Effect.UNSAFE), 1, Fixture.nodes(6));
+            RoutingPolicy p = f.choice(Fixture.settings(Router.Effect.UNSAFE), 1, Fixture.nodes(6));
             p.onRequest(0, Fixture.request(1, 42, 600 * MS), f);
             f.fire(p, 150 * MS);
             f.outcome(p, 200 * MS, 1, 0, o);
@@ -58,7 +58,7 @@
 
     @Test
     void unsafeIsResentWhereItNeverRan() {
-        Choice p = with(Router.Effect.UNSAFE);
+        RoutingPolicy p = with(Router.Effect.UNSAFE);
         request(p);
         out.outcome(p, MS, 1, 0, Router.Outcome.OVERLOADED);
         assertEquals(2, out.sent.size());
@@ -68,12 +68,12 @@
 
     @Test
     void keyedIsResentWithinItsWindowOnly() {
-        Choice p = with(Router.Effect.KEYED);
+        RoutingPolicy p = with(Router.Effect.KEYED);
         p.onRequest(0, Fixture.request(1, 42, 10 * S), out);
         out.outcome(p, 500 * MS, 1, 0, Router.Outcome.ERROR);
         assertEquals(2, out.sent.size());
         Fixture late = new Fixture();
-        Choice q = late.choice(Fixture.settings(Router.Effect.KEYED), 1, Fixture.nodes(6));
+        RoutingPolicy q = late.choice(Fixture.settings(Router.Effect.KEYED), 1, Fixture.nodes(6));
         q.onRequest(0, Fixture.request(1, 42, 10 * S), late);
         late.outcome(q, 2 * S - 5 * MS, 1, 0, Router.Outcome.ERROR);
         assertEquals(1, late.sent.size(), "its window of 2 s is as good as over");
@@ -85,7 +85,7 @@
             Router.Settings s = Fixture.settings(Router.Effect.KEYED);
             s.dialTimeoutUs = slow ? 250 * MS : 0;
             Fixture f = new Fixture();
-            Choice p = f.choice(s, 1, Fixture.nodes(6));
+            RoutingPolicy p = f.choice(s, 1, Fixture.nodes(6));
             p.onRequest(0, Fixture.request(1, 42, 10 * S), f);
             f.outcome(p, 2 * S - 200 * MS, 1, 0, Router.Outcome.ERROR);
             assertEquals(slow ? 1 : 2, f.sent.size());
@@ -102,7 +102,7 @@
         }
         for (int key = 1; key < 40; key++) {
             Fixture f = new Fixture();
-            Choice p = f.choice(s, key, nodes);
+            RoutingPolicy p = f.choice(s, key, nodes);
             p.onRequest(0, Fixture.request(1, key, 600 * MS), f);
             f.outcome(p, MS, 1, 0, Router.Outcome.RESET);
             for (int i = 1; i < f.sent.size(); i++) {
@@ -118,7 +118,7 @@
     void everyRequestIsAnsweredAfterItsLastTimeOut() {
         for (Router.Effect effect : Router.Effect.values()) {
             Fixture f = new Fixture();
-            Choice p = f.choice(Fixture.settings(effect), 1, Fixture.nodes(6));
+            RoutingPolicy p = f.choice(Fixture.settings(effect), 1, Fixture.nodes(6));
             p.onRequest(0, Fixture.request(1, 42, 600 * MS), f);
             f.outcome(p, 600 * MS, 1, 0, Router.Outcome.TIMEOUT);
             assertEquals(1, f.refused.size() + f.failed.size(), effect + " gets one final answer");
@@ -128,7 +128,7 @@
 
     @Test
     void theDueTimeRulesNotTheClassDeadline() {
-        Choice p = earning(with(Router.Effect.SAFE));
+        RoutingPolicy p = earning(with(Router.Effect.SAFE));
         p.onRequest(0, Fixture.request(1, 42, 100 * MS), out);
         assertEquals(0, out.sent.get(0).timeoutUs(), "until the client gives up");
         out.fire(p, 100 * MS);
@@ -139,14 +139,14 @@
     void whereLateAnswersEarnNothingTheAttemptEndsBeforeTheAim() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
         s.classes[0].lateWorth = 0;
-        Choice p = out.choice(s, 1, Fixture.nodes(6));
+        RoutingPolicy p = out.choice(s, 1, Fixture.nodes(6));
         p.onRequest(0, Fixture.request(1, 42, 600 * MS), out);
         assertEquals(290 * MS, out.sent.get(0).timeoutUs());
     }
 
     @Test
     void nothingIsSentAfterTheEnd() {
-        Choice p = earning(with(Router.Effect.SAFE));
+        RoutingPolicy p = earning(with(Router.Effect.SAFE));
         request(p);
         p.onAborted(MS, 1, out);
         assertEquals("1/0", out.cancelled.get(0));
@@ -159,7 +159,7 @@
 
     @Test
     void theFirstAnswerCancelsTheSecondCopy() {
-        Choice p = earning(with(Router.Effect.SAFE));
+        RoutingPolicy p = earning(with(Router.Effect.SAFE));
         request(p);
         out.fire(p, 150 * MS);
         assertEquals(2, out.sent.size());
@@ -170,8 +170,8 @@
     @Test
     void noSecondCopyWhereNoneIsAllowed() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
-        s.secondCopies = false;
-        Choice p = earning(out.choice(s, 1, Fixture.nodes(6)));
+        s.hedging = false;
+        RoutingPolicy p = earning(out.choice(s, 1, Fixture.nodes(6)));
         request(p);
         out.fire(p, 150 * MS);
         assertEquals(1, out.sent.size());
@@ -179,7 +179,7 @@
 
     @Test
     void aStreamBelongsToTheClientOnceItHasBegun() {
-        Choice p = earning(with(Router.Effect.SAFE));
+        RoutingPolicy p = earning(with(Router.Effect.SAFE));
         request(p);
         p.onStreaming(MS, 1, 0, out);
         out.fire(p, 150 * MS);
@@ -190,7 +190,7 @@
 
     @Test
     void drainingAndGoneNodesGetNothingNew() {
-        Choice p = with(Router.Effect.SAFE);
+        RoutingPolicy p = with(Router.Effect.SAFE);
         Router.Node[] changes = {Fixture.node(1), Fixture.node(2)};
         changes[0].state = Router.NodeState.DRAINING;
         changes[1].state = Router.NodeState.GONE;
@@ -214,7 +214,7 @@
             for (int step = 0; step < 3; step++) {
                 for (long seed = 1; seed < 3; seed++) {
                     Fixture f = new Fixture();
-                    Choice p = f.choice(Fixture.settings(Router.Effect.SAFE), seed, nodes);
+                    RoutingPolicy p = f.choice(Fixture.settings(Router.Effect.SAFE), seed, nodes);
                     p.onRequest(step * 5 * S, Fixture.request(1, key, 20 * S), f);
                     boolean there = f.lastNode() == 1;
                     part[step] += there && seed == 1 ? 1 : 0;
@@ -230,7 +230,7 @@
                 part[0] + ", " + part[1] + ", " + part[2] + " of 400 keys, 100 due when warm");
     }
 
-    private Choice aside(Router.Effect effect) {
+    private RoutingPolicy aside(Router.Effect effect) {
         Router.Settings s = Fixture.settings(effect);
         s.aside = true;
         s.originKind = 9;
@@ -241,7 +241,7 @@
 
     @Test
     void asideMissesGoOnToTheOriginAndWritesStraightThere() {
-        Choice p = aside(Router.Effect.SAFE);
+        RoutingPolicy p = aside(Router.Effect.SAFE);
         request(p);
         assertTrue(out.lastNode() < 7, "the origin is no cache");
         p.onOutcome(MS, 1, 0, Router.Outcome.MISS, MS, false, Router.CacheNote.MISS, new Router.Report(), out);
@@ -266,7 +266,7 @@
         int[] refused = new int[2];
         for (int seed = 1; seed <= 40; seed++) {
             Fixture f = new Fixture();
-            Choice p = f.choice(s, seed, nodes);
+            RoutingPolicy p = f.choice(s, seed, nodes);
             for (int i = 0; i < 3; i++) {
                 Router.Request w = Fixture.request(i, 1 + i, S);
                 w.requestClass = 1;
@@ -305,7 +305,7 @@
         Router.Node[] nodes = Fixture.nodes(7);
         nodes[6].kind = 9;
         nodes[6].zone = 1;
-        Choice p = out.choice(s, 1, nodes);
+        RoutingPolicy p = out.choice(s, 1, nodes);
         request(p);
         out.outcome(p, MS, 1, 0, Router.Outcome.ERROR);
         assertEquals(2, out.sent.size(), "tried again within its zone");
@@ -316,7 +316,7 @@
 
     @Test
     void anOriginThatFailsIsSparedByRefusingMisses() {
-        Choice p = aside(Router.Effect.SAFE);
+        RoutingPolicy p = aside(Router.Effect.SAFE);
         int reached = 0;
         for (int i = 0; i < 60; i++) {
             Router.Request q = Fixture.request(i, 100 + i, S);
