Read the settings' own word for second copies again

Cause: the rename of the module's values also changed the path that SettingsText asks for, from caps.secondCopies to caps.hedging. The settings never have that, so no proxy sent hedged requests or shared a connection. SettingsTextTest was renamed with it and expected false, which is also what a missing word gives.

Change: the path is the wire's word; the test has it true. Without the mend SettingsTextTest fails, and so do three tests of ServingTest every time: aLateAnswerOnASharedConnection.., overTheBoundWithEveryConnectionBusy.., anAttemptGivenUpBeforeItsConnectionIsUp... They were held to depend on time; none did, they were right.

--- a/src/main/java/holdproxy/SettingsText.java
+++ b/src/main/java/holdproxy/SettingsText.java
@@ -48,7 +48,7 @@
         s.askForNodes = word("registryMode", "automatic", "automatic", "subscribe").equals("subscribe");
         s.mayCancel = flag("caps.mayCancel");
         s.mayProbe = flag("caps.probing");
-        s.hedging = flag("caps.hedging");
+        s.hedging = flag("caps.secondCopies");
         s.retryAfter = flag("caps.retryAfter");
         s.maxRetryAfterUs = micros("caps.maxRetryAfterMs", 0);
         s.maxAttempts = integer("caps.maxAttempts", 1, 1);
--- a/src/test/java/holdproxy/SettingsTextTest.java
+++ b/src/test/java/holdproxy/SettingsTextTest.java
@@ -12,7 +12,7 @@
             balancers=26
             caps.maxAttempts=6
             caps.mayCancel=true
-            caps.hedging=false
+            caps.secondCopies=true
             caps.maxRetryAfterMs=2000.0
             familyInfo.mode=aside
             familyInfo.originKind=3
@@ -59,7 +59,7 @@
         assertEquals(2, s.zone);
         assertEquals(26, s.routers);
         assertEquals(6, s.maxAttempts);
-        assertTrue(s.mayCancel && !s.hedging && s.aside && s.askForNodes);
+        assertTrue(s.mayCancel && s.hedging && s.aside && s.askForNodes);
         assertEquals(3, s.originKind);
         assertEquals(2_000_000, s.maxRetryAfterUs);
         assertEquals(Router.Effect.KEYED, s.classes[0].effect);
