Force the order in four tests of shared and late connections

Change: what has to be written together comes in one piece on one connection, what has to stay out stays out for 59 s, and the test waits for the proxy's own state before it makes room. As strict: with giveUp told to keep what was never written, with an answer's id not compared, and with a gone client's dials kept, the three tests meant fail.

--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -22,6 +22,10 @@
     /** Connections to nodes may be shared, and are once so many are open under the least limit. */
     private static final UnaryOperator<String> SHARING = s -> s.replace("\"multiplex\":1", "\"multiplex\":64")
         .replace("\"secondCopies\":false", "\"secondCopies\":true");
+    /** The same, for requests that are to stay out until the test ends however slow the machine is. */
+    private static final UnaryOperator<String> SHARING_LONG = s -> SHARING.apply(s)
+        .replace("\"deadlineMs\":5000.0", "\"deadlineMs\":60000.0");
+    private static final int LONG_MS = 59_000;
     private static final int LEAST_SOCKETS = 128;
     private static final int MOST_TO_NODES = 24;
 
@@ -226,16 +230,21 @@
     @Test
     void whatWaitsForAConnectionIsNotSentOnceItsClientHasGone() throws Exception {
         try (Fixture f = new Fixture(1, s -> s.replace("\"mayCancel\":true", "\"mayCancel\":false")
-                .replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":9000.0")
-                .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":18000.0"), 1024);
+                .replace("\"deadlineMs\":5000.0", "\"deadlineMs\":60000.0")
+                .replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":58000.0")
+                .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":116000.0"), 1024);
                 Peer.Deaf deaf = new Peer.Deaf()) {
             onlyNode(f, deaf.address());
             Peer gone = f.client();
-            gone.send(Fixture.read("a1", 4900));
-            Peer client = f.client();
-            client.send("mn\r\n"); // answered behind it
-            client.expect("MN");
+            gone.send("mn\r\n" + Fixture.read("a1", LONG_MS));
+            gone.expect("MN");
+            for (int i = 0; i < 3; i++) {
+                f.loop.submit(() -> { }).get(); // what was read along with that, and the dial it brought about
+            }
             gone.close();
+            while (!f.loop.submit(() -> f.proxy.admission.none()).get()) {
+                Thread.onSpinWait();
+            }
             // the kernel tries again to connect 1 s and 3 s after it first did, and there is room from now on
             assertThrows(java.net.SocketTimeoutException.class, () -> deaf.hear(4500));
         }
@@ -243,22 +252,21 @@
 
     @Test
     void anAttemptGivenUpBeforeItsConnectionIsUpIsNotWrittenWhenItComesUpForAnother() throws Exception {
-        try (Fixture f = new Fixture(1, s -> SHARING.apply(s)
-                .replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":9000.0")
-                .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":18000.0"), LEAST_SOCKETS);
+        try (Fixture f = new Fixture(1, s -> SHARING_LONG.apply(s)
+                .replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":58000.0")
+                .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":116000.0"), LEAST_SOCKETS);
                 Peer.Deaf deaf = new Peer.Deaf()) {
             oneConnectionLeft(f);
             onlyNode(f, deaf.address());
             Peer client = f.client();
-            Peer patient = f.client();
-            client.send(Fixture.write("charge", "c1", 400));
-            patient.send(Fixture.write("charge", "c2", 4900));
+            // in one piece: both wait for the same connection before the first is given up
+            client.send(Fixture.write("charge", "c1", 400) + Fixture.write("charge", "c2", LONG_MS));
             assertTrue(client.line().startsWith("SERVER_ERROR busy ")); // which promises that it never ran
-            Peer node = deaf.hear();
-            assertEquals("ms 7f3a9c21e0b4d655 5 Oc2 Pc=charge,t=acme,d=,k=5c0f", command(node, 4900));
+            Peer node = deaf.hear(30_000);
+            assertEquals("ms 7f3a9c21e0b4d655 5 Oc2 Pc=charge,t=acme,d=,k=5c0f", command(node, LONG_MS));
             node.expect("hello");
             node.send("HD Oc2 c2\r\n");
-            patient.expect("HD Oc2 c2");
+            client.expect("HD Oc2 c2");
         }
     }
 
@@ -266,8 +274,8 @@
     private static void oneConnectionLeft(Fixture f) throws Exception {
         Peer client = f.client();
         for (int i = 1; i < MOST_TO_NODES; i++) {
-            client.send(Fixture.read("busy" + i, 4900));
-            command(f.nodes.get(0).next(), 4900);
+            client.send(Fixture.read("busy" + i, LONG_MS));
+            command(f.nodes.get(0).next(), LONG_MS);
         }
     }
 
@@ -328,22 +336,27 @@
 
     @Test
     void aLateAnswerOnASharedConnectionIsNotTakenForTheNextOne() throws Exception {
-        try (Fixture f = new Fixture(1, SHARING, LEAST_SOCKETS); Peer.Listener shared = new Peer.Listener()) {
+        try (Fixture f = new Fixture(1, SHARING_LONG, LEAST_SOCKETS);
+                Peer.Listener shared = new Peer.Listener()) {
             oneConnectionLeft(f);
             onlyNode(f, shared.address());
             Peer client = f.client();
-            Peer patient = f.client();
-            client.send(Fixture.write("charge", "c1", 300));
+            client.send(Fixture.read("a1", LONG_MS));
             Peer node = shared.next();
-            command(node, 300);
+            command(node, LONG_MS);
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+            // in one piece, on a connection that is up: both are written before the first is given up
+            client.send(Fixture.write("charge", "c1", 2000) + Fixture.write("charge", "c2", LONG_MS));
+            command(node, 2000);
             node.expect("hello");
-            patient.send(Fixture.write("charge", "c2", 4000));
-            command(node, 4000);
+            command(node, LONG_MS);
             node.expect("hello");
             client.expect("SERVER_ERROR failed");
             node.send("HD Oc1 c1\r\nHD Oc2 c2\r\n");
-            patient.expect("HD Oc2 c2");
+            client.expect("HD Oc2 c2");
             node.expectEnd();
+            assertEquals(1, shared.count());
         }
     }
 
@@ -390,21 +403,21 @@
 
     @Test
     void overTheBoundWithEveryConnectionBusyANewOneIsToldSoAndEnds() throws Exception {
-        try (Fixture f = new Fixture(1, SHARING, LEAST_SOCKETS)) {
+        try (Fixture f = new Fixture(1, SHARING_LONG, LEAST_SOCKETS)) {
             int clients = 40; // so many may connect
             for (int i = 0; i < clients; i++) {
-                f.client().send(Fixture.read("a" + i, 4900));
+                f.client().send(Fixture.read("a" + i, LONG_MS));
             }
             List<Peer> toNode = new ArrayList<>();
             for (int i = 0; i < MOST_TO_NODES; i++) {
                 toNode.add(f.nodes.get(0).next());
-                command(toNode.get(i), 4900);
+                command(toNode.get(i), LONG_MS);
             }
             for (int i = 0; i < clients - MOST_TO_NODES; i++) {
-                command(toNode.get(i), 4900); // behind the first on that connection
+                command(toNode.get(i), LONG_MS); // behind the first on that connection
             }
             Peer over = f.client();
-            over.send(Fixture.write("charge", "c1", 4000));
+            over.send(Fixture.write("charge", "c1", LONG_MS));
             assertTrue(over.line().startsWith("SERVER_ERROR busy "));
             over.expectEnd();
         }
