Two calls to discovery fit into the 6 s after which a change counts as told

Cause, in the source: RoutingPolicy.askPause doubled the rest of a failed call up to 12 s, whatever the call had already taken; a new service was asked again after up to 3 s (Discovery.successorFailed); first calls took up to 8 s.

Change: a call that fails is made again at most 2 s after it began, one that took longer (waited in vain, fell silent, never connected) within half a second; both also within askWithin. First calls are spread over 2 s at most. Sum: 2 s + 3 s (SILENCE_MS; the connection's 2 s are within) + 0.5 s = 5.5 s, 0.5 s to answer, and drainGrace beyond. A silent watch: 3 s + 1 s + 2 s to wait and be answered. At a new service pauses end at 0.75 s: 0.75 + 2.5 + 0.75 = 4 s, and 2 s to wait and be answered.

Where it needs 3 s and all watches fall silent together the last is told after 5.7 s to 6.7 s: 3 s of silence leave no more.

--- a/src/main/java/holdproxy/RoutingPolicy.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -93,10 +93,10 @@
     // Discovery: first calls spread over this part of the time in which an instance has to ask.
     static final double ASK_SPREAD = 0.8;
     static final double ASK_US_PER_ROUTER = 400_000;
-    static final long ASK_RETRY_US = 2_000_000;
-    // A watch that had told something and ends is asked for again within this time: what it misses counts as
-    // told 6 s after it fell silent, of which finding that out takes half.
-    static final long ASK_AGAIN_US = 1_000_000;
+    // Whatever failed, a change counts as told so long after discovery had it and could be reached. The sum:
+    // 2 s at most from a first call's moment, or from a call that fails, to the next; 3 s until one that
+    // waits in vain is failed or given up; half a second until it is made again; and as much for its answer.
+    static final long TOLD_US = 6_000_000;
     // Where lists are pushed: pauses as a share of the grace for drains, and of this where none is stated.
     static final double ASK_PUSHED = 0.4;
     static final long ASK_PUSHED_LEAST_US = 250_000;
@@ -134,6 +134,7 @@
     /** The watch that was subscribed to has told something. */
     private boolean watched;
     private int askFailures;
+    private long askedAt;
 
     public RoutingPolicy(Settings settings, long seed, long nowUs, Actions out) {
         settings.check();
@@ -152,7 +153,7 @@
         if (settings.askForNodes) {
             // a thousand proxies starting together would swamp discovery: each takes its own moment
             double spread = Math.min(ASK_SPREAD * settings.askWithinUs, ASK_US_PER_ROUTER * settings.routers);
-            out.timer((long) (random.unit() * spread), TIMER_ASK);
+            out.timer((long) (random.unit() * Math.min(spread, TOLD_US / 3)), TIMER_ASK);
         }
     }
 
@@ -163,7 +164,7 @@
         if (kind == ListKind.FAILED || kind == ListKind.SILENT) {
             subscribed = false;
             report(now, "node list call failed", out);
-            out.timer((long) askPause(kind), TIMER_ASK);
+            out.timer((long) askPause(now - askedAt), TIMER_ASK);
             watched = false;
             return;
         }
@@ -172,17 +173,17 @@
         fleet.apply(kind, nodes, count);
     }
 
-    private double askPause(ListKind kind) {
+    /** How long to rest after a call that took so long, or after a watch that had told something. */
+    private double askPause(long took) {
+        askFailures += watched ? 0 : 1;
+        double unit = random.unit();
         if (!set.askForNodes) {
             // what an agent has counts as told from its return on: the whole pause is taken from that grace
-            askFailures++;
-            return ASK_PUSHED * Math.max(ASK_PUSHED_LEAST_US, set.drainGraceUs) * (0.5 + random.unit());
+            return ASK_PUSHED * Math.max(ASK_PUSHED_LEAST_US, set.drainGraceUs) * (0.5 + unit);
         }
-        // what a silent call misses counts like what a silent watch does; silence again may be load
-        boolean soon = watched || kind == ListKind.SILENT && askFailures == 0;
-        askFailures += watched ? 0 : 1;
-        return soon ? ASK_AGAIN_US * random.unit()
-                : ASK_RETRY_US * (1L << Math.min(askFailures - 1, 2)) * (0.5 + random.unit());
+        double third = Math.min(TOLD_US / 4, set.askWithinUs) / 3.0;
+        // a fleet's watches end together, and its calls are refused together: both come back spread
+        return watched ? 2 * third * unit : Math.max(third * unit, third * (1 + 2 * unit) - took);
     }
 
     // ---- arrival: the tenant's chance ----
@@ -615,6 +616,7 @@
         InFlightRequest r = kind == TIMER_ASK ? null : open.get(label >>> 3);
         if (kind == TIMER_ASK && !subscribed) {
             subscribed = true;
+            askedAt = now;
             out.subscribe();
         } else if (r == null || r.done) {
             return;
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -49,11 +49,12 @@
     private static final int CONNECT_MS = 2000;
     /**
      * A new service has 4 s from SIGHUP until all it has to tell counts as told. The module's own pause after
-     * a failed call may take 3 s of that, so the first calls there are repeated from here.
+     * a failed call may take 2 s of that, so the first calls there are repeated from here. Was it down, all
+     * counts 6 s after it can be reached: a pause of 0.75 s, a call in vain, another pause, and 2 s.
      */
     private static final int MOVE_FIRST_WORD_MS = 2500;
     private static final int MOVE_RETRY_MS = 150;
-    private static final int MOVE_RETRY_MOST_MS = 2000;
+    private static final int MOVE_RETRY_MOST_MS = 500;
 
     /** An entry of a list with the address and name that the module does not need. */
     record Entry(Router.Node node, String name, InetSocketAddress address) {
--- /dev/null
+++ b/src/test/java/holdproxy/DiscoveryLoadTest.java
@@ -0,0 +1,269 @@
+package holdproxy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Whole fleets at one discovery, on a clock of their own: however its failures look from outside, and however
+ * long they last, every instance has the list 6 s after the service can be reached.
+ */
+class DiscoveryLoadTest {
+    private static final long S = Fixture.S;
+    private static final long MS = Fixture.MS;
+    private static final long TOLD_US = 6 * S;
+    /** As holdproxy.net.Discovery does it. */
+    private static final long SILENCE_US = 3 * S;
+    private static final long CONNECT_US = 2 * S;
+    private static final int[] FLEETS = {1, 6, 14, 100, 730};
+
+    /** What callers meet while discovery is down. */
+    private enum Down { REFUSES, NEVER_CONNECTS, MUTE }
+
+    /** One service that works through calls in turn and fails those that waited too long. */
+    private static final class Service {
+        private record Event(long at, long order, Runnable run) { }
+
+        private static final class Call {
+            final Instance from;
+            boolean worked;
+            boolean over;
+
+            Call(Instance from) {
+                this.from = from;
+            }
+        }
+
+        private final class Instance {
+            final Fixture out = new Fixture();
+            final RoutingPolicy policy;
+            boolean watches;
+            long told = Long.MAX_VALUE;
+
+            Instance(Router.Settings settings, long seed) {
+                policy = new RoutingPolicy(settings, seed, now, out);
+                policy.onNodes(now, Router.ListKind.CACHED, Fixture.nodes(2), 2, out);
+                act();
+            }
+
+            void hear(Router.ListKind kind) {
+                watches = kind == Router.ListKind.DELTA;
+                told = watches ? now : Long.MAX_VALUE;
+                policy.onNodes(now, kind, new Router.Node[0], 0, out);
+                act();
+            }
+
+            /** Does what the policy asks for. */
+            void act() {
+                for (long[] t : out.timers) {
+                    at(now + t[0], () -> {
+                        policy.onTimer(now, t[1], out);
+                        act();
+                    });
+                }
+                out.timers.clear();
+                for (; out.subscribes > 0; out.subscribes--) {
+                    begun.add(now);
+                    call(this);
+                }
+            }
+        }
+
+        private final long workUs;
+        private final long waitUs;
+        private final Down failure;
+        /** Also works on what its caller has given up. */
+        private final boolean worksOnLost;
+        private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
+            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+        private final Deque<Call> queue = new ArrayDeque<>();
+        private final List<Call> hanging = new ArrayList<>();
+        final List<Instance> fleet = new ArrayList<>();
+        final List<Long> begun = new ArrayList<>();
+        private long now;
+        private long order;
+        private boolean down;
+        private boolean working;
+
+        /** The work that the whole fleet's calls need, in seconds, and the longest that a call may wait. */
+        Service(int instances, double fleetTakesS, long waitUs, Down failure, boolean worksOnLost) {
+            this.workUs = (long) (fleetTakesS * S / instances);
+            this.waitUs = waitUs;
+            this.failure = failure;
+            this.worksOnLost = worksOnLost;
+        }
+
+        void start(int instances) {
+            Router.Settings settings = Fixture.settings(Router.Effect.SAFE);
+            settings.askForNodes = true;
+            settings.routers = instances;
+            for (int i = 0; i < instances; i++) {
+                fleet.add(new Instance(settings, 7919L * i + 1));
+            }
+        }
+
+        private void at(long time, Runnable run) {
+            events.add(new Event(time, order++, run));
+        }
+
+        void run(long until) {
+            while (!events.isEmpty() && events.peek().at <= until) {
+                Event e = events.poll();
+                now = e.at;
+                e.run.run();
+            }
+            now = until;
+        }
+
+        private void call(Instance from) {
+            Call c = new Call(from);
+            if (down && failure == Down.REFUSES) {
+                at(now + MS, () -> end(c, Router.ListKind.FAILED));
+            } else if (down && failure == Down.NEVER_CONNECTS) {
+                at(now + CONNECT_US, () -> end(c, Router.ListKind.FAILED));
+            } else {
+                at(now + SILENCE_US, () -> end(c, Router.ListKind.SILENT));
+                if (!down) {
+                    at(now + waitUs, () -> {
+                        if (!c.worked) {
+                            end(c, Router.ListKind.FAILED);
+                        }
+                    });
+                    queue.add(c);
+                    work();
+                }
+            }
+        }
+
+        private void end(Call c, Router.ListKind kind) {
+            if (!c.over) {
+                c.over = true;
+                c.from.hear(kind);
+            }
+        }
+
+        private void work() {
+            while (!working && !queue.isEmpty()) {
+                Call c = queue.poll();
+                working = worksOnLost || !c.over;
+                if (working) {
+                    c.worked = true;
+                    at(now + workUs, () -> {
+                        working = false;
+                        end(c, Router.ListKind.DELTA);
+                        work();
+                    });
+                }
+            }
+        }
+
+        /** Down: all watches end, those that wait are failed or hear nothing more. */
+        void fall() {
+            down = true;
+            queue.clear();
+            for (Instance i : fleet) {
+                if (i.watches && failure == Down.MUTE) {
+                    i.watches = false;
+                    at(now + SILENCE_US, () -> i.hear(Router.ListKind.SILENT));
+                } else if (i.watches) {
+                    i.hear(Router.ListKind.FAILED);
+                }
+            }
+        }
+
+        void rise() {
+            down = false;
+            begun.clear();
+        }
+
+        long lastTold() {
+            long last = 0;
+            for (Instance i : fleet) {
+                last = Math.max(last, i.told);
+            }
+            return last;
+        }
+
+        int mostBegunInASecond() {
+            int most = 0;
+            for (int from = 0, to = 0; to < begun.size(); to++) {
+                while (begun.get(to) - begun.get(from) >= S) {
+                    from++;
+                }
+                most = Math.max(most, to - from + 1);
+            }
+            return most;
+        }
+    }
+
+    /** A case of the service, and one fleet at it. */
+    private record Case(int instances, double fleetTakesS, long waitUs, Down failure, boolean worksOnLost) {
+        Service service() {
+            Service s = new Service(instances, fleetTakesS, waitUs, failure, worksOnLost);
+            s.start(instances);
+            return s;
+        }
+    }
+
+    private static List<Case> cases() {
+        List<Case> cases = new ArrayList<>();
+        for (int instances : FLEETS) {
+            for (double fleetTakesS : new double[] {0.1, 1, 2, 2.5}) {
+                for (long waitUs : new long[] {2 * S, 3 * S}) {
+                    for (Down failure : Down.values()) {
+                        cases.add(new Case(instances, fleetTakesS, waitUs, failure, false));
+                        cases.add(new Case(instances, fleetTakesS, waitUs, failure, true));
+                    }
+                }
+            }
+        }
+        return cases;
+    }
+
+    private static void assertAllToldInTime(Case c, Service s, long reachableUs) {
+        long after = s.lastTold() - reachableUs;
+        assertTrue(after <= TOLD_US, "the last is told after " + after + " us: " + c);
+        assertTrue(s.mostBegunInASecond() <= 2 * c.instances, "calls a second: " + s.mostBegunInASecond() + ", " + c);
+    }
+
+    /** Danger: a failed call rested for up to 12 s, and drains that began when discovery was back were missed. */
+    @Test
+    void howeverLongDiscoveryWasDownAFleetHasTheListSixSecondsAfterItsReturn() {
+        for (Case c : cases()) {
+            for (long downUs : new long[] {300 * MS, S, 2900 * MS, 8 * S, 20 * S, 61 * S}) {
+                Service s = c.service();
+                s.run(20 * S);
+                s.fall();
+                s.run(20 * S + downUs);
+                int most = s.mostBegunInASecond();
+                assertTrue(most <= 2 * c.instances, "calls a second while it is down: " + most + ", " + c);
+                s.rise();
+                s.run(90 * S + downUs);
+                assertAllToldInTime(c, s, 20 * S + downUs);
+            }
+        }
+    }
+
+    /** Danger: first calls spread over most of the time to ask in came too late for what counted as told. */
+    @Test
+    void aFleetThatStartsTogetherHasTheListSixSecondsAfterDiscoveryCanBeReached() {
+        for (Case c : cases()) {
+            for (long downUs : new long[] {0, 300 * MS, 2 * S, 9 * S}) {
+                Service s = c.service();
+                if (downUs > 0) {
+                    s.fall();
+                    s.run(downUs);
+                    s.rise();
+                }
+                s.run(60 * S);
+                assertAllToldInTime(c, s, downUs);
+                assertTrue(downUs > 0 || s.begun.size() == c.instances, "calls made twice: " + s.begun.size() + ", " + c);
+            }
+        }
+    }
+}
--- a/src/test/java/holdproxy/net/DiscoveryTest.java
+++ b/src/test/java/holdproxy/net/DiscoveryTest.java
@@ -111,6 +111,32 @@
         }
     }
 
+    /**
+     * Danger: a failed call rested for up to 12 s, and drains that began once discovery was back were missed.
+     * Here it refuses one call, and keeps the next waiting until that is given up.
+     */
+    @Test
+    void afterManyRefusalsAndACallInVainADrainIsToldWithinSixSeconds() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s.replace("\"askWithinMs\":100.0", "\"askWithinMs\":10000.0"), 1024)) {
+            f.nodes.add(new Peer.Listener());
+            Peer client = f.client();
+            Peer old = serve(f, client, "a1", 0, null);
+            for (int i = 0; i < 5; i++) {
+                Peer call = f.discovery.next();
+                callLine(call);
+                call.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                call.expectEnd();
+            }
+            long back = System.nanoTime();
+            callLine(f.discovery.next());
+            Peer watch = f.watch();
+            Fixture.chunk(watch, Fixture.list(2, false, f.entry(0, "DRAINING"), f.entry(1, "SERVING")));
+            old.expectEnd();
+            long ms = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - back);
+            assertTrue(ms < 6000, "told " + ms + " ms after discovery was back");
+        }
+    }
+
     @Test
     void whereListsArePushedTheWatchBeginsWithTheProxy() throws Exception {
         try (Fixture f = new Fixture(1, s -> s.replace("\"subscribe\"", "\"automatic\""), 1024)) {
--- a/src/test/java/holdproxy/net/ReloadTest.java
+++ b/src/test/java/holdproxy/net/ReloadTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import sun.misc.Signal;
@@ -94,6 +95,26 @@
         }
     }
 
+    /**
+     * Danger: calls to a new service came to rest for up to 3 s. It may be down when the configuration comes,
+     * and what it has to tell counts as told 6 s after it can be reached: two such pauses and a call in vain.
+     */
+    @Test
+    void aNewServiceThatRefusesForLongIsAskedAgainSoonAllTheTime() throws Exception {
+        try (Fixture f = new Fixture(1); Hup hup = new Hup(f); Peer.Listener moved = new Peer.Listener()) {
+            f.watch();
+            hup.discovery(moved.address());
+            moved.next().close();
+            long from = System.nanoTime();
+            for (int i = 0; i < 15; i++) {
+                moved.next().close();
+            }
+            begun(moved);
+            long ms = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+            assertTrue(ms < 11_000, "16 calls again took " + ms + " ms");
+        }
+    }
+
     @Test
     void aBadConfigurationChangesNothingAndTheNextGoodOneIsTaken() throws Exception {
         try (Fixture f = new Fixture(1); Hup hup = new Hup(f); Peer.Listener moved = new Peer.Listener()) {
