A proxy begun with SIGHUP ignored takes a new configuration all the same

Cause: a JVM leaves a SIGHUP that is ignored when it starts, as under nohup, ignored; Signal.handle then returns SIG_IGN and nothing is ever heard (seen in a program of ten lines). Nobody moves to the new service.

A file that is not whole is not taken, as before. Test: the program itself, started with SIGHUP ignored; without the mend no call came to the new service.

--- a/src/test/java/holdproxy/net/ReloadTest.java
+++ b/src/test/java/holdproxy/net/ReloadTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
@@ -35,8 +36,7 @@
         }
 
         void discovery(String address) throws IOException {
-            configuration(Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024)
-                .replace("{\"name\"", "{\"discovery\":\"" + address + "\",\"name\""));
+            configuration(pointingTo(address));
         }
 
         @Override
@@ -46,6 +46,11 @@
         }
     }
 
+    private static String pointingTo(String discovery) {
+        return Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024)
+            .replace("{\"name\"", "{\"discovery\":\"" + discovery + "\",\"name\"");
+    }
+
     private static Peer begun(Peer.Listener discovery) throws Exception {
         Peer p = discovery.next();
         assertEquals("GET /registry/instances?stream=1&index=0 HTTP/1.1", p.line());
@@ -115,6 +120,29 @@
         }
     }
 
+    /** Danger: begun under nohup, no proxy heard of SIGHUP, and all that a new service had to tell was missed. */
+    @Test
+    void whereTheSignalIsIgnoredFromTheStartANewFileIsTakenAllTheSame(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        try (Peer.Listener old = new Peer.Listener(); Peer.Listener moved = new Peer.Listener()) {
+            Files.writeString(file, pointingTo(old.address()));
+            String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+            ProcessBuilder b = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$0\" -cp \"$1\" holdproxy.Main serve",
+                java, System.getProperty("java.class.path"));
+            b.environment().putAll(Fixture.env(file, old.address()));
+            Process proxy = b.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+            try {
+                old.next();
+                Files.writeString(file, "{\"discovery\":"); // one that is not whole yet
+                Files.writeString(file, pointingTo(moved.address()));
+                begun(moved);
+            } finally {
+                proxy.destroy();
+                assertTrue(proxy.waitFor(30, TimeUnit.SECONDS));
+            }
+        }
+    }
+
     @Test
     void aBadConfigurationChangesNothingAndTheNextGoodOneIsTaken() throws Exception {
         try (Fixture f = new Fixture(1); Hup hup = new Hup(f); Peer.Listener moved = new Peer.Listener()) {
