--- a/src/test/java/holdproxy/net/ReloadTest.java
+++ b/src/test/java/holdproxy/net/ReloadTest.java
@@ -8,8 +8,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
@@ -34,8 +36,7 @@
         }
 
         void discovery(String address) throws IOException {
-            configuration(Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024)
-                .replace("{\"name\"", "{\"discovery\":\"" + address + "\",\"name\""));
+            configuration(pointingTo(address));
         }
 
         @Override
@@ -45,6 +46,11 @@
         }
     }
 
+    private static String pointingTo(String discovery) {
+        return Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024)
+            .replace("{\"name\"", "{\"discovery\":\"" + discovery + "\",\"name\"");
+    }
+
     private static Peer begun(Peer.Listener discovery) throws Exception {
         Peer p = discovery.next();
         assertEquals("GET /registry/instances?stream=1&index=0 HTTP/1.1", p.line());
@@ -94,6 +100,49 @@
         }
     }
 
+    /**
+     * Danger: calls to a new service came to rest for up to 3 s. It may be down when the configuration comes,
+     * and what it has to tell counts as told 6 s after it can be reached: two such pauses and a call in vain.
+     */
+    @Test
+    void aNewServiceThatRefusesForLongIsAskedAgainSoonAllTheTime() throws Exception {
+        try (Fixture f = new Fixture(1); Hup hup = new Hup(f); Peer.Listener moved = new Peer.Listener()) {
+            f.watch();
+            hup.discovery(moved.address());
+            moved.next().close();
+            long from = System.nanoTime();
+            for (int i = 0; i < 15; i++) {
+                moved.next().close();
+            }
+            begun(moved);
+            long ms = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+            assertTrue(ms < 11_000, "16 calls again took " + ms + " ms");
+        }
+    }
+
+    /** Danger: begun under nohup, no proxy heard of SIGHUP, and all that a new service had to tell was missed. */
+    @Test
+    void whereTheSignalIsIgnoredFromTheStartANewFileIsTakenAllTheSame(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        try (Peer.Listener old = new Peer.Listener(); Peer.Listener moved = new Peer.Listener()) {
+            Files.writeString(file, pointingTo(old.address()));
+            String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+            ProcessBuilder b = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$0\" -cp \"$1\" holdproxy.Main serve",
+                java, System.getProperty("java.class.path"));
+            b.environment().putAll(Fixture.env(file, old.address()));
+            Process proxy = b.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+            try {
+                old.next();
+                Files.writeString(file, "{\"discovery\":"); // one that is not whole yet
+                Files.writeString(file, pointingTo(moved.address()));
+                begun(moved);
+            } finally {
+                proxy.destroy();
+                assertTrue(proxy.waitFor(30, TimeUnit.SECONDS));
+            }
+        }
+    }
+
     @Test
     void aBadConfigurationChangesNothingAndTheNextGoodOneIsTaken() throws Exception {
         try (Fixture f = new Fixture(1); Hup hup = new Hup(f); Peer.Listener moved = new Peer.Listener()) {
