After a pause of the loop no attempt begins before the ends of clients are read

A client that closed its connection while the loop stood still was served once more when it went on: its request was read one pass of the loop before the end behind it, a node's answer or a connection that came up lay before that end, and timers that had become due ran before anything was read.

Attempts begin in one place now, NodeConnection.begin. Where the tick is late by 30 ms, what would begin waits until two further passes of the loop have read what lies there (CatchUp); a client whose end is read meanwhile takes its attempts out of the line. Without a pause nothing waits.

ClientGoneTest stops the loop on a latch: a request and its end, sixty clients that came and went, a dial that came up, a node that turned the request away, a hedge that was due.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -58,6 +58,9 @@
         s.openedUs = proxy.now();
         s.openedPass = pass;
         countPass();
+        if (proxy.catchUp.running()) {
+            proxy.catchUp.begin(); // a pass takes only so many off the accept queue: more may lie there
+        }
         if (all.size() > most && !makeRoom()) {
             s.refuse();
             if (all.size() > most + MOST_REFUSING) {
--- a/src/main/java/holdproxy/net/Attempt.java
+++ b/src/main/java/holdproxy/net/Attempt.java
@@ -10,6 +10,8 @@
     final long sentUs;
     /** How long the proxy waits for it. */
     final long waitUs;
+    /** Whether it was handed to its connection to be written: before, it can be taken back unseen. */
+    boolean begun;
     /** Whether its last byte has gone to the kernel: from there on it may run. */
     boolean written;
     boolean over;
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -18,6 +18,7 @@
     private final ArrayDeque<Attempt> line = new ArrayDeque<>();
     private Channel channel;
     private boolean up;
+    private boolean used;
     private boolean closed;
     /** An attempt on it was given up: what went on it now would wait behind that one's answer. */
     private boolean retired;
@@ -45,29 +46,43 @@
         return !closed && !retired && (!up || channel.isActive());
     }
 
-    boolean isUp() {
-        return up;
-    }
-
     void add(Attempt a) {
         a.connection = this;
         line.add(a);
-        if (up) {
-            write(a);
-        }
+        begin(a, false);
     }
 
-    private void write(Attempt a) {
-        long waitUs = a.waitUs - (pool.pools.proxy.now() - a.sentUs);
+    /** The one place where attempts begin; until then, one whose request is over is taken out of the line. */
+    private void begin(Attempt a, boolean caughtUp) {
+        Proxy proxy = pool.pools.proxy;
+        if (!up || closed || a.over) {
+            return;
+        }
+        if (proxy.mustCatchUp(caughtUp) || !nextToBegin(a)) {
+            proxy.catchUp.afterwards(() -> begin(a, true));
+            return;
+        }
+        a.begun = true;
+        used = true;
+        long waitUs = a.waitUs - (proxy.now() - a.sentUs);
         channel.writeAndFlush(a.exchange.command.encode(channel.alloc(), waitUs))
             .addListener(f -> a.written = f.isSuccess());
     }
 
+    private boolean nextToBegin(Attempt a) {
+        for (Attempt other : line) {
+            if (!other.begun) {
+                return other == a;
+            }
+        }
+        return false;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         up = true;
         for (Attempt a : line) {
-            write(a);
+            begin(a, false);
         }
     }
 
@@ -85,9 +100,13 @@
      */
     boolean giveUp(Attempt a) {
         a.over = true;
-        if (!up) {
+        if (!a.begun) {
             line.remove(a);
-            if (line.isEmpty()) {
+            if (used && !retired && line.isEmpty() && !decoder.partial()) {
+                if (!resting) {
+                    pool.idle(this); // as it was before this one
+                }
+            } else if (line.stream().allMatch(other -> other.over)) {
                 close();
             }
             return false;
@@ -164,7 +183,7 @@
         pool.pools.log.line("node " + pool.name + " broke the protocol: " + why);
         Attempt a = line.poll();
         if (a != null) {
-            end(a, Router.Outcome.RESET, null);
+            end(a, a.begun ? Router.Outcome.RESET : a.broken(), null);
         }
         close(); // whose its further answers are cannot be told
     }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -54,6 +54,8 @@
     private static final long TICK_US = 20_000;
     private static final long JUST_US = 5_000;
     private static final long LATE_TOLD_US = 50_000;
+    /** No attempt may begin 0.1 s after its client has gone: a pause of a third of that is caught up with. */
+    private static final long CATCH_UP_US = 30_000;
     private static final int BACKLOG = 512;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
@@ -72,6 +74,7 @@
     /** The ids that clients gave to what is in the table. */
     private final Set<String> openIds = new HashSet<>();
     final Admission admission;
+    final CatchUp catchUp;
     private final Router.Request request = new Router.Request();
     private final Router.Report report = new Router.Report();
     private final Set<Integer> listed = new HashSet<>();
@@ -96,6 +99,7 @@
         int left = config.sockets - OWN_DESCRIPTORS;
         int mostSessions = left / 2;
         admission = new Admission(this, mostSessions, config.sockets / 4, loop);
+        catchUp = new CatchUp(loop);
         names = new Command.Names(new HashMap<>(), new HashMap<>());
         for (int i = 0; i < config.settings.classes.length; i++) {
             names.classes().put(config.settings.classes[i].name, i);
@@ -235,6 +239,9 @@
         if (lastLateUs > LATE_TOLD_US) {
             log.line("the loop stood still for " + lastLateUs / 1000 + " ms");
         }
+        if (lastLateUs > CATCH_UP_US) {
+            catchUp.begin();
+        }
         lastTickUs = now;
         tickDueUs = now + TICK_US;
         loop.schedule(this::tick, TICK_US, TimeUnit.MICROSECONDS);
@@ -250,6 +257,18 @@
         return late > TICK_US ? late : 0;
     }
 
+    /**
+     * Whether a client's end that came while the loop stood still may be unread: then no attempt begins.
+     * {@code caughtUp}: this one has waited for that already.
+     */
+    boolean mustCatchUp(boolean caughtUp) {
+        if (tickDueUs != 0 && now() - tickDueUs > CATCH_UP_US) {
+            catchUp.begin();
+            return true;
+        }
+        return !caughtUp && catchUp.running();
+    }
+
     /** The module's clock: microseconds, never going back. */
     long now() {
         return (System.nanoTime() - origin) / 1000;
@@ -335,8 +354,8 @@
     void clientGone(Exchange x) {
         if (!x.answered) {
             concluded(x);
-            // the module may not be allowed to take attempts back; what waits for a connection was never sent
-            x.attempts.stream().filter(a -> !a.over && !a.connection.isUp())
+            // the module may not be allowed to take attempts back; what has not begun was never sent
+            x.attempts.stream().filter(a -> !a.over && !a.begun)
                 .toList().forEach(a -> giveUp(a, Router.Outcome.NOT_SENT));
             event(() -> router.onAborted(now(), x.id, this));
         }
--- /dev/null
+++ b/src/test/java/holdproxy/net/ClientGoneTest.java
@@ -0,0 +1,253 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A client that has closed its connection has gone: nothing of what it asked for is begun after that. */
+@Timeout(60)
+class ClientGoneTest {
+    /** An attempt that begins so long after the client has gone is held against the proxy. */
+    private static final long GONE_MS = 100;
+    /** More than a pass of the loop takes off the accept queue. */
+    private static final int MANY = 60;
+    /** Requests that earn the budget for a hedge, and the time by which one is due. */
+    private static final int EARNING = 60;
+    private static final long HEDGED_MS = 600;
+    private static final UnaryOperator<String> HEDGING = s -> s.replace("\"secondCopies\":false",
+        "\"secondCopies\":true");
+
+    /** The loop of a proxy, stopped while a test makes what it finds next. */
+    private static final class Stop {
+        private final CountDownLatch stopped = new CountDownLatch(1);
+        private final CountDownLatch on = new CountDownLatch(1);
+
+        static Stop now(Fixture f) throws InterruptedException {
+            Stop s = new Stop();
+            f.loop.execute(s::hold);
+            s.stopped.await();
+            return s;
+        }
+
+        void hold() {
+            stopped.countDown();
+            try {
+                on.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        /** Goes on once what has been done so far lies further back than a proxy may act on it. */
+        void endPast(long sinceNanos) {
+            while (System.nanoTime() - sinceNanos < TimeUnit.MILLISECONDS.toNanos(2 * GONE_MS)) {
+                Thread.onSpinWait();
+            }
+            on.countDown();
+        }
+    }
+
+    /** Serves a client, so that the connection to the only node is up and idle; returns its other end. */
+    private static Peer warm(Fixture f, Peer client) throws Exception {
+        client.send(Fixture.read("w1", 4000));
+        Peer node = f.nodes.get(0).next();
+        assertTrue(node.line().contains(" Ow1 "));
+        answer(node, client, "w1");
+        return node;
+    }
+
+    private static void answer(Peer node, Peer client, String id) throws Exception {
+        node.send("VA 1 O" + id + "\r\n1\r\n");
+        client.expect("VA 1 O" + id, "1");
+    }
+
+    /** Another client, which is answered after all that lay there, and once what had to wait has begun. */
+    private static Peer caughtUp(Fixture f) throws Exception {
+        Peer other = f.client();
+        other.send("mn\r\n");
+        other.expect("MN");
+        while (f.loop.submit(() -> f.proxy.catchUp.running()).get()) {
+            Thread.onSpinWait();
+        }
+        return other;
+    }
+
+    /** The next that the only node gets, on this connection, is a request of another client. */
+    private static void onlyOthersAreServed(Fixture f, Peer node, String id) throws Exception {
+        Peer other = caughtUp(f);
+        other.send(Fixture.read(id, 4000));
+        String line = node.line();
+        assertTrue(line != null && line.contains(" O" + id + " "), "sent on: " + line);
+        answer(node, other, id);
+        try (Peer sentinel = Peer.to(f.nodes.get(0).socketAddress())) {
+            // whatever else was opened to it lies before this one, and was closed with nothing written
+            for (Peer p = f.nodes.get(0).next(); p.socket.getPort() != sentinel.socket.getLocalPort();
+                    p = f.nodes.get(0).next()) {
+                p.expectEnd();
+            }
+        }
+    }
+
+    /** Danger: a write that failed tells of the end, and the rest of the same read must not be sent on. */
+    @Test
+    void whatWasReadTogetherWithTheEndIsNotSentOnOnceAWriteHasFailed() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            Peer node = warm(f, client);
+            Stop stop = Stop.now(f);
+            client.send("mn\r\nmn\r\n" + Fixture.read("a1", 4000) + Fixture.read("a2", 4000));
+            client.reset();
+            stop.on.countDown();
+            onlyOthersAreServed(f, node, "b1");
+        }
+    }
+
+    /** Danger: read after a pause, a request was sent on before the end that lay right behind it was read. */
+    @Test
+    void aRequestWhoseClientWentWhileTheLoopStoodStillIsNotSentOn() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            Peer node = warm(f, client);
+            Stop stop = Stop.now(f);
+            client.send(Fixture.read("a1", 4000));
+            client.close();
+            stop.endPast(System.nanoTime());
+            onlyOthersAreServed(f, node, "b1");
+        }
+    }
+
+    /** Danger: the same of a client that came during the pause, and is yet to be accepted. */
+    @Test
+    void aClientThatCameAndWentWhileTheLoopStoodStillIsNotServed() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer node = warm(f, f.client());
+            Stop stop = Stop.now(f);
+            for (int i = 0; i < MANY; i++) {
+                Peer client = f.client();
+                client.send(Fixture.read("a" + i, 4000));
+                client.close();
+            }
+            stop.endPast(System.nanoTime());
+            onlyOthersAreServed(f, node, "b1");
+        }
+    }
+
+    /** Danger: a connection that came up during a pause took along what waited for it, whoever had gone. */
+    @Test
+    void whatWaitedForAConnectionIsNotSentWhenBothCameDuringAPause() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s.replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":9000.0")
+                .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":18000.0"), 1024);
+                Peer.Deaf deaf = new Peer.Deaf()) {
+            Fixture.chunk(f.watch(), Fixture.list(2, true,
+                f.entry(0, "SERVING").replace(f.nodes.get(0).address(), deaf.address())));
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4900));
+            Peer behind = f.client();
+            behind.send("mn\r\n"); // answered behind it
+            behind.expect("MN");
+            Stop stop = Stop.now(f);
+            Peer node = deaf.hear(); // when the kernel tries again to connect
+            client.close();
+            stop.endPast(System.nanoTime());
+            Peer other = f.client();
+            other.send("mn\r\n");
+            other.expect("MN");
+            node.expectEnd();
+        }
+    }
+
+    /** Danger: a node turned the request away during a pause, and it went to another before the end was read. */
+    @Test
+    void aFurtherAttemptIsNotMadeForAClientThatWentWhileTheLoopStoodStill() throws Exception {
+        try (Fixture f = new Fixture(2)) {
+            Peer client = f.client();
+            List<Peer> nodes = warmBoth(f, client);
+            client.send(Fixture.read("a1", 4900));
+            Peer first = heard(nodes, "a1");
+            Stop stop = Stop.now(f);
+            first.send("SERVER_ERROR busy\r\n");
+            client.close();
+            stop.endPast(System.nanoTime());
+            nothingMoreIsHeard(f, nodes);
+        }
+    }
+
+    /** Danger: timers that ran late after a pause made second attempts before the end was read. */
+    @Test
+    void aHedgedRequestIsNotMadeForAClientThatWentWhileTheLoopStoodStill() throws Exception {
+        try (Fixture f = new Fixture(2, HEDGING, 1024)) {
+            Peer client = f.client();
+            List<Peer> nodes = warmBoth(f, client);
+            client.send(Fixture.read("a1", 4900));
+            heard(nodes, "a1");
+            long sent = System.nanoTime();
+            Stop stop = new Stop();
+            Stop early = new Stop();
+            f.loop.execute(() -> {
+                f.loop.schedule(stop::hold, 0, TimeUnit.MILLISECONDS);
+                early.hold();
+            });
+            // the second stop and the timer of the hedge are both due then: nothing is read in between
+            while (System.nanoTime() - sent < TimeUnit.MILLISECONDS.toNanos(HEDGED_MS)) {
+                Thread.onSpinWait();
+            }
+            early.on.countDown();
+            stop.stopped.await();
+            client.close();
+            stop.endPast(System.nanoTime());
+            nothingMoreIsHeard(f, nodes);
+        }
+    }
+
+    /** Has both nodes' connections up and idle, and the retry budget earned. */
+    private static List<Peer> warmBoth(Fixture f, Peer client) throws Exception {
+        Peer[] nodes = new Peer[2];
+        for (int i = 0; i < EARNING || nodes[0] == null || nodes[1] == null; i++) {
+            client.send("mg 7f3a9c21e0b4d6" + Integer.toHexString(0x10 + i % 0xe0) + " v Ow" + i
+                + " Pc=lookup,t=acme,d=4900\r\n");
+            Peer node = null;
+            while (node == null) {
+                for (int n = 0; n < 2; n++) {
+                    nodes[n] = nodes[n] == null ? f.nodes.get(n).poll() : nodes[n];
+                }
+                node = firstToHear(nodes);
+            }
+            node.line();
+            answer(node, client, "w" + i);
+        }
+        return List.of(nodes);
+    }
+
+    private static Peer firstToHear(Peer... nodes) throws Exception {
+        for (Peer node : nodes) {
+            if (node != null && node.socket.getInputStream().available() > 0) {
+                return node;
+            }
+        }
+        return null;
+    }
+
+    /** The node that a request of this id has come to. */
+    private static Peer heard(List<Peer> nodes, String id) throws Exception {
+        Peer node = null;
+        while (node == null) {
+            node = firstToHear(nodes.toArray(Peer[]::new));
+        }
+        assertTrue(node.line().contains(" O" + id + " "));
+        return node;
+    }
+
+    /** Nothing has come to either node once another client was answered and all that waits has begun. */
+    private static void nothingMoreIsHeard(Fixture f, List<Peer> nodes) throws Exception {
+        caughtUp(f);
+        for (Peer node : nodes) {
+            assertEquals(0, node.socket.getInputStream().available());
+        }
+    }
+}
--- a/src/test/java/holdproxy/net/Peer.java
+++ b/src/test/java/holdproxy/net/Peer.java
@@ -109,6 +109,10 @@
             return "127.0.0.1:" + server.getLocalPort();
         }
 
+        java.net.InetSocketAddress socketAddress() {
+            return (java.net.InetSocketAddress) server.getLocalSocketAddress();
+        }
+
         Peer next() throws InterruptedException {
             Peer p = accepted.poll(WAIT_MS, TimeUnit.MILLISECONDS);
             if (p == null) {
