A client that sent far more than is served at a time is seen to have gone

Behind 128 open requests, or an unreadable line, 16 KB were read ahead and no more: the end of a client that had sent more lay unread in the kernel, and its requests were sent on as places became free, for as long as it took. What is sent ahead is read undecoded now while all sessions together hold under 1 MB beyond their 16 KB (Proxy.ahead); after an unreadable line it is still 16 KB, but when such a session is read on, attempts wait two passes of the loop, in which its end is read (CatchUp).

Two tests failed without it: 3,000 requests at once, whose nodes never saw the end (10 s), and 3,000 behind an unreadable line, the first of which was sent on after the client had gone. A third, a client that ended its sending only, passed before. The tests' listeners queue 512 connections: with 64, tests that have 128 opened at once lost some under load ("no connection came", also before).

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -15,7 +15,7 @@
 final class ClientSession extends SimpleChannelInboundHandler<Object> {
     /** So many unanswered requests and the connection is not read on until some are answered. */
     private static final int MOST_WAITING = 128;
-    /** So many bytes may wait here to be read on: further ones wait with the client's kernel. */
+    /** So many bytes may wait here to be read on; more only while all sessions together hold little. */
     private static final int MOST_AHEAD = 16 << 10;
     /** What crossed our end was sent again long before this is over, and reading it takes nothing up. */
     private static final int SETTLE_MS = 50;
@@ -54,6 +54,8 @@
     /** What has begun to come is not waited for. */
     private boolean cut;
     private boolean resuming;
+    /** Bytes beyond {@link #MOST_AHEAD} that count towards what all sessions may hold. */
+    private int beyond;
 
     ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
@@ -145,8 +147,8 @@
     }
 
     /**
-     * Bounded memory: a client that asks without end or does not read its answers is not read on. Some bytes
-     * more are taken in unread: else its going, which comes behind them, would not be seen.
+     * Bounded memory: a client that asks without end or does not read its answers is not read on. What it has
+     * sent is taken in undecoded: else its going, which comes behind that, would not be seen.
      */
     private void throttle() {
         if (full()) {
@@ -155,8 +157,22 @@
             resuming = true;
             channel.eventLoop().execute(this::resume); // not at once: this may be in the midst of a read
         }
-        boolean room = !decoder.held() || decoder.ahead() < MOST_AHEAD;
-        channel.config().setAutoRead(room && (!ending || settled));
+        boolean read = roomAhead() && (!ending || settled);
+        if (read && !channel.config().isAutoRead()) {
+            proxy.catchUp.begin(); // more lies there than was read, perhaps with the end behind it
+        }
+        channel.config().setAutoRead(read);
+    }
+
+    private boolean roomAhead() {
+        boolean sound = !lost && !paused;
+        int now = decoder.held() && channel.isActive() ? Math.max(0, decoder.ahead() - MOST_AHEAD) : 0;
+        if (now > beyond && (!sound || !proxy.ahead.take(now - beyond))) {
+            return false;
+        }
+        proxy.ahead.give(Math.max(0, beyond - now));
+        beyond = now;
+        return now == 0 || sound;
     }
 
     private boolean full() {
@@ -267,6 +283,8 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         proxy.closed(this);
+        proxy.ahead.give(beyond);
+        beyond = 0;
         for (Slot s : slots) {
             if (s.answer != null) {
                 proxy.untaken(-s.answer.readableBytes());
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -34,10 +34,11 @@
 public final class Proxy implements Router.Actions {
     /** Descriptors for the program itself: libraries, selector, listener, discovery. */
     private static final int OWN_DESCRIPTORS = 48;
-    /** Bytes of values: of open requests, still coming from clients, and of answers not taken yet. */
+    /** Bytes: of open requests' values, coming from clients, of answers not taken yet, not decoded yet. */
     private static final long MOST_HELD_BYTES = 6L << 20;
     private static final long MOST_COMING_BYTES = 4L << 20;
     private static final long MOST_UNTAKEN_BYTES = 12L << 20;
+    private static final long MOST_AHEAD_BYTES = 1L << 20;
     private static final int MOST_OPEN = 4096;
     private static final long DEFAULT_ADVICE_US = 500_000;
     /** The client's clock started when it sent: what an answer needs to be with it in time. */
@@ -67,6 +68,8 @@
     private final long unixAtOriginUs;
     private final Command.Names names;
     private final Budget coming = new Budget(MOST_COMING_BYTES);
+    /** Undecoded bytes of clients with many open requests, beyond what each may send ahead. */
+    final Budget ahead = new Budget(MOST_AHEAD_BYTES);
     private final NodePools pools;
     final Discovery discovery;
     private final Router router;
--- a/src/test/java/holdproxy/net/ClientGoneTest.java
+++ b/src/test/java/holdproxy/net/ClientGoneTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,9 @@
     /** Requests that earn the budget for a hedge, and the time by which one is due. */
     private static final int EARNING = 60;
     private static final long HEDGED_MS = 600;
+    /** Requests of one client that are open at the same time, and far more than are read ahead of these. */
+    private static final int MOST_WAITING = 128;
+    private static final int FLOOD = 3000;
     private static final UnaryOperator<String> HEDGING = s -> s.replace("\"secondCopies\":false",
         "\"secondCopies\":true");
 
@@ -250,4 +254,63 @@
             assertEquals(0, node.socket.getInputStream().available());
         }
     }
+
+    /** Danger: a connection with much unread on it does not show that its client has gone. */
+    @Test
+    void theGoingOfAClientThatSentFarMoreThanIsServedIsSeenAndNothingMoreIsSentOn() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":60000.0"), 1024)) {
+            Peer client = f.client();
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < FLOOD; i++) {
+                all.append(Fixture.read("a" + i, 60_000));
+            }
+            client.send(all.toString());
+            List<Peer> out = new ArrayList<>();
+            for (int i = 0; i < MOST_WAITING; i++) {
+                Peer node = f.nodes.get(0).next();
+                assertTrue(node.line().contains(" Oa"));
+                out.add(node);
+            }
+            client.close();
+            for (Peer node : out) {
+                node.expectEnd();
+            }
+            caughtUp(f);
+            assertEquals(MOST_WAITING, f.nodes.get(0).count());
+        }
+    }
+
+    /** Danger: what lay behind an unreadable line was sent on when it was read on, before the end behind it. */
+    @Test
+    void whatFollowsAnUnreadableLineIsNotSentOnOnceItsClientHasGone() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            Peer node = warm(f, client);
+            StringBuilder all = new StringBuilder("get x\r\n");
+            for (int i = 0; i < FLOOD; i++) {
+                all.append(Fixture.read("a" + i, 4900));
+            }
+            client.send(all.toString());
+            client.expect("ERROR");
+            client.close();
+            Peer later = f.client();
+            later.send("get x\r\nmn\r\n");
+            later.expect("ERROR", "MN"); // read on after the first was
+            onlyOthersAreServed(f, node, "b1");
+        }
+    }
+
+    /** A client that has ended its sending waits for nothing either. */
+    @Test
+    void aClientThatHasEndedItsSendingHasGone() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4900));
+            Peer node = f.nodes.get(0).next();
+            assertTrue(node.line().contains(" Oa1 "));
+            client.socket.shutdownOutput();
+            node.expectEnd();
+            client.expectEnd();
+        }
+    }
 }
--- a/src/test/java/holdproxy/net/Peer.java
+++ b/src/test/java/holdproxy/net/Peer.java
@@ -20,6 +20,8 @@
 /** The other end of a connection, under a test's control, and a listener that makes such ends. */
 final class Peer implements Closeable {
     private static final int WAIT_MS = 10_000;
+    /** More than a test opens at once: beyond it the kernel leaves connections to be tried again. */
+    private static final int BACKLOG = 512;
 
     final Socket socket;
     private final InputStream in;
@@ -87,7 +89,7 @@
         private final List<Peer> all = new CopyOnWriteArrayList<>();
 
         Listener() throws IOException {
-            server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+            server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
             thread = new Thread(this::accept, "listener");
             thread.setDaemon(true);
             thread.start();
