--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -54,6 +54,9 @@
     /** What has begun to come is not waited for. */
     private boolean cut;
     private boolean resuming;
+    /** When what lies behind an unreadable line came, 0 where nothing does; and for how long it lay. */
+    private long aheadSinceUs;
+    private long behindUs;
     /** Bytes beyond {@link #MOST_AHEAD} that count towards what all sessions may hold. */
     private int beyond;
 
@@ -99,7 +102,7 @@
             closing = true;
             answer(slot, proxy.busy());
         } else if (message instanceof Command c) {
-            slot.exchange = proxy.request(this, slot, c);
+            slot.exchange = proxy.request(this, slot, c, behindUs);
         } else if (message instanceof Command.Greeting) {
             answer(slot, "MN");
         } else if (message instanceof Command.Fault f) {
@@ -141,6 +144,9 @@
         // held, what is missing of a command may be with us
         boolean half = !unread && !decoder.held() && decoder.partial();
         proxy.admission.said(this, half, whole);
+        if (paused && aheadSinceUs == 0 && decoder.ahead() > 0) {
+            aheadSinceUs = proxy.now();
+        }
         whole = false;
         throttle();
         endIfDone();
@@ -193,7 +199,10 @@
     private void resume() {
         resuming = false;
         if (channel.isActive() && !full()) {
+            behindUs = aheadSinceUs == 0 ? 0 : proxy.now() - aheadSinceUs;
             decoder.resume(channel.pipeline().context(decoder));
+            behindUs = 0;
+            aheadSinceUs = decoder.held() ? aheadSinceUs : 0;
         }
     }
 
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -316,7 +316,8 @@
 
     // ---- requests ----
 
-    Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
+    /** {@code behindUs}: for how long the command has lain undecoded; its time began to count before. */
+    Exchange request(ClientSession session, ClientSession.Slot slot, Command c, long behindUs) {
         if (table.size() >= Math.min(MOST_OPEN, config.settings.maxOpen)
                 || heldBytes + c.valueBytes() > MOST_HELD_BYTES) {
             session.answer(slot, busy());
@@ -331,7 +332,7 @@
         long classUs = config.settings.classes[c.requestClass].deadlineUs;
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
         waitUs = classUs > 0 ? Math.min(waitUs, classUs) : waitUs; // no client holds a place for longer
-        long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - stoodStillUs(now);
+        long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - Math.max(stoodStillUs(now), behindUs);
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs);
         table.put(x.id, x);
         heldBytes += c.valueBytes();
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -158,6 +158,20 @@
         }
     }
 
+    /** Danger: counted from when it was read on, its answer came up to half a second after its time. */
+    @Test
+    void theTimeOfARequestBehindAnUnreadableLineCountsFromWhenItCame() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send("get x\r\n" + Fixture.read("a1", 2000));
+            client.expect("ERROR");
+            Peer node = f.nodes.get(0).next();
+            command(node, 1500); // it was read on 0.5 s after that line
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+        }
+    }
+
     @Test
     void anUnsafeRequestWhoseConnectionBreaksAfterItWasWrittenHasFailedAndIsNotSentAgain() throws Exception {
         try (Fixture f = new Fixture(2)) {
