What lies behind others on a connection is not sent once its client has gone

Where no descriptor is left, attempts share a connection, and each was handed to it at once: behind values that its node did not take yet they lay in the channel's queue, from which nothing can be taken back, and went out when there was room, whoever had gone. An attempt begins now when the one before it has gone to the kernel whole; until then it is taken out of the line like one that waits for the connection to come up.

The test sends 95 writes of 60 KB to a node that does not read, and lets the client go: without the change the last of them reached the node afterwards.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -49,41 +49,42 @@
     void add(Attempt a) {
         a.connection = this;
         line.add(a);
-        begin(a, false);
+        beginNext();
+    }
+
+    /** Begins the first in line that has not, once what lies before it has gone to the kernel. */
+    private void beginNext() {
+        for (Attempt a : line) {
+            if (!a.written) {
+                begin(a, false);
+                return;
+            }
+        }
     }
 
     /** The one place where attempts begin; until then, one whose request is over is taken out of the line. */
     private void begin(Attempt a, boolean caughtUp) {
         Proxy proxy = pool.pools.proxy;
-        if (!up || closed || a.over) {
+        if (!up || closed || a.begun || a.over) {
             return;
         }
-        if (proxy.mustCatchUp(caughtUp) || !nextToBegin(a)) {
+        if (proxy.mustCatchUp(caughtUp)) {
             proxy.catchUp.afterwards(() -> begin(a, true));
             return;
         }
         a.begun = true;
         used = true;
         long waitUs = a.waitUs - (proxy.now() - a.sentUs);
-        channel.writeAndFlush(a.exchange.command.encode(channel.alloc(), waitUs))
-            .addListener(f -> a.written = f.isSuccess());
-    }
-
-    private boolean nextToBegin(Attempt a) {
-        for (Attempt other : line) {
-            if (!other.begun) {
-                return other == a;
-            }
-        }
-        return false;
+        channel.writeAndFlush(a.exchange.command.encode(channel.alloc(), waitUs)).addListener(f -> {
+            a.written = f.isSuccess();
+            beginNext();
+        });
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         up = true;
-        for (Attempt a : line) {
-            begin(a, false);
-        }
+        beginNext();
     }
 
     void dialed(ChannelFuture f) {
@@ -108,6 +109,8 @@
                 }
             } else if (line.stream().allMatch(other -> other.over)) {
                 close();
+            } else {
+                beginNext();
             }
             return false;
         }
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -264,6 +264,41 @@
         }
     }
 
+    /** Danger: what lay behind others on a shared connection went out when its node took these, for nobody. */
+    @Test
+    void whatWaitsBehindOthersOnAConnectionIsNotSentOnceItsClientHasGone() throws Exception {
+        try (Fixture f = new Fixture(1, s -> SHARING.apply(s).replace("\"mayCancel\":true", "\"mayCancel\":false")
+                .replace("\"multiplex\":64", "\"multiplex\":95"),
+                LEAST_SOCKETS); Peer.Listener full = new Peer.Listener()) {
+            oneConnectionLeft(f);
+            onlyNode(f, full.address());
+            Peer client = f.client();
+            String value = "x".repeat(60_000); // so many of them that the kernel does not take all
+            for (int i = 0; i < 95; i++) {
+                client.send("ms 7f3a9c21e0b4d655 60000 Oc" + i + ". Pc=submit,t=acme,d=4900,k=5c0f\r\n" + value
+                    + "\r\n");
+            }
+            client.socket.shutdownOutput();
+            client.expectEnd(); // it is seen to have gone
+            Peer node = full.next();
+            StringBuilder got = new StringBuilder();
+            for (int empty = 0; empty < 3; empty++) {
+                byte[] some = new byte[node.socket.getInputStream().available()];
+                if (some.length > 0) {
+                    empty = -1;
+                    int n = node.socket.getInputStream().read(some);
+                    got.append(new String(some, 0, n, java.nio.charset.StandardCharsets.ISO_8859_1));
+                }
+                Peer other = f.client();
+                other.send("mn\r\n"); // answered after what there was room for was written
+                other.expect("MN");
+                other.close();
+            }
+            assertTrue(got.indexOf(" Oc0. ") >= 0);
+            assertEquals(-1, got.indexOf(" Oc94. "));
+        }
+    }
+
     @Test
     void anAttemptGivenUpBeforeItsConnectionIsUpIsNotWrittenWhenItComesUpForAnother() throws Exception {
         try (Fixture f = new Fixture(1, s -> SHARING_LONG.apply(s)
