A connection is not done before its answers have gone to the kernel

A session counted as idle once its answers were handed to the channel, also where the client had not taken them yet: closed for room or at the end of the proxy, the rest of them was dropped, so that a request had its attempt and never its whole answer. Idle is now also that all is written, for 3 s at most, so that a client that takes nothing does not keep its descriptor; and where a connection ends, the times for reading on and for closing count from when the last answer was written and the end sent, again 3 s at most.

Two tests failed without it, 9 MB answered to a client that reads later: closed for room, and 0.7 s after SIGTERM; in both the second or a later answer was cut. A third, that the connection of a client that takes nothing is ended, timed out where idle was left to the write alone.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -20,6 +20,8 @@
     /** What crossed our end was sent again long before this is over, and reading it takes nothing up. */
     private static final int SETTLE_MS = 50;
     private static final int LINGER_MS = 500;
+    /** Answers that a client has not taken after so long do not keep its connection open. */
+    private static final int TAKEN_MS = 3000;
     private static final int PAUSE_MS = 500;
 
     /** A request's place in the order of answers. */
@@ -54,6 +56,8 @@
     /** What has begun to come is not waited for. */
     private boolean cut;
     private boolean resuming;
+    /** Answers on their way to the kernel. */
+    private int unwritten;
     /** When what lies behind an unreadable line came, 0 where nothing does; and for how long it lay. */
     private long aheadSinceUs;
     private long behindUs;
@@ -232,7 +236,11 @@
         while (!slots.isEmpty() && slots.peek().answer != null) {
             ByteBuf next = slots.poll().answer;
             int size = next.readableBytes();
-            channel.write(next).addListener(f -> proxy.untaken(-size));
+            unwritten++;
+            channel.write(next).addListener(f -> {
+                proxy.untaken(-size);
+                written();
+            });
             any = true;
         }
         if (any) {
@@ -244,12 +252,26 @@
                 channel.eventLoop().schedule(() -> channel.close(), PAUSE_MS, TimeUnit.MILLISECONDS);
             } else if (closing) {
                 endIfDone();
-            } else {
-                proxy.idle(this);
+            } else if (unwritten > 0) {
+                channel.eventLoop().schedule(this::idleIfDone, TAKEN_MS, TimeUnit.MILLISECONDS);
             }
         }
     }
 
+    private void written() {
+        unwritten--;
+        if (unwritten == 0) {
+            idleIfDone();
+        }
+    }
+
+    /** Idle is also that its answers have gone to the kernel: closed for room before, it would lose them. */
+    private void idleIfDone() {
+        if (slots.isEmpty() && !lost && !closing && channel.isActive()) {
+            proxy.idle(this);
+        }
+    }
+
     void abort() {
         channel.close();
     }
@@ -279,14 +301,16 @@
         ending = true;
         unread = true;
         channel.config().setAutoRead(false);
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-            .addListener(f -> ((DuplexChannel) channel).shutdownOutput());
         EventLoop loop = channel.eventLoop();
-        loop.schedule(() -> {
-            settled = true;
-            throttle();
-        }, SETTLE_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+            ((DuplexChannel) channel).shutdownOutput();
+            loop.schedule(() -> {
+                settled = true;
+                throttle();
+            }, SETTLE_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        });
+        loop.schedule(() -> channel.close(), TAKEN_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
