--- a/src/test/java/holdproxy/net/ClientGoneTest.java
+++ b/src/test/java/holdproxy/net/ClientGoneTest.java
@@ -24,6 +24,8 @@
     /** Requests of one client that are open at the same time, and far more than are read ahead of these. */
     private static final int MOST_WAITING = 128;
     private static final int FLOOD = 3000;
+    private static final UnaryOperator<String> NO_TAKING_BACK = s -> s.replace("\"mayCancel\":true",
+        "\"mayCancel\":false");
     private static final UnaryOperator<String> HEDGING = s -> s.replace("\"secondCopies\":false",
         "\"secondCopies\":true");
 
@@ -209,6 +211,59 @@
         }
     }
 
+    /** Where attempts may not be taken back, one that is out ends after its client has gone, and is the last. */
+    @Test
+    void anAttemptThatEndsAfterItsClientHasGoneIsNotFollowedByAnother() throws Exception {
+        try (Fixture f = new Fixture(2, NO_TAKING_BACK, 1024)) {
+            Peer client = f.client();
+            List<Peer> nodes = warmBoth(f, client);
+            client.send(Fixture.read("a1", 4900));
+            Peer first = heard(nodes, "a1");
+            client.socket.shutdownOutput();
+            client.expectEnd();
+            first.send("SERVER_ERROR busy\r\n");
+            nothingMoreIsHeard(f, nodes);
+        }
+    }
+
+    /** The same while the attempt is out and the timer of a hedged request comes due. */
+    @Test
+    void aHedgedRequestIsNotMadeOnceTheClientHasGone() throws Exception {
+        try (Fixture f = new Fixture(2, s -> HEDGING.apply(NO_TAKING_BACK.apply(s)), 1024)) {
+            Peer client = f.client();
+            List<Peer> nodes = warmBoth(f, client);
+            client.send(Fixture.read("a1", 4900));
+            heard(nodes, "a1");
+            client.socket.shutdownOutput();
+            client.expectEnd();
+            f.loop.schedule(() -> { }, HEDGED_MS, TimeUnit.MILLISECONDS).get(); // due after the hedge's timer
+            nothingMoreIsHeard(f, nodes);
+        }
+    }
+
+    /** Danger: held back until the program has started, a request was sent on before the end behind it was read. */
+    @Test
+    void aClientThatWentBeforeItsSessionWasAdmittedIsNotServed() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer node = warm(f, f.client());
+            Peer client = f.client();
+            client.send("mn\r\n");
+            client.expect("MN");
+            ClientSession session = f.loop.submit(() -> {
+                List<ClientSession> all = f.proxy.admission.all();
+                ClientSession last = all.get(all.size() - 1);
+                last.holdBack();
+                return last;
+            }).get();
+            client.send(Fixture.read("a1", 4900));
+            Stop stop = Stop.now(f);
+            f.loop.execute(session::admit);
+            client.close();
+            stop.endPast(System.nanoTime());
+            onlyOthersAreServed(f, node, "b1");
+        }
+    }
+
     /** Has both nodes' connections up and idle, and the retry budget earned. */
     private static List<Peer> warmBoth(Fixture f, Peer client) throws Exception {
         Peer[] nodes = new Peer[2];
