--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -15,11 +15,13 @@
 final class ClientSession extends SimpleChannelInboundHandler<Object> {
     /** So many unanswered requests and the connection is not read on until some are answered. */
     private static final int MOST_WAITING = 128;
-    /** So many bytes may wait here to be read on: further ones wait with the client's kernel. */
+    /** So many bytes may wait here to be read on; more only while all sessions together hold little. */
     private static final int MOST_AHEAD = 16 << 10;
     /** What crossed our end was sent again long before this is over, and reading it takes nothing up. */
     private static final int SETTLE_MS = 50;
     private static final int LINGER_MS = 500;
+    /** Answers that a client has not taken after so long do not keep its connection open. */
+    private static final int TAKEN_MS = 3000;
     private static final int PAUSE_MS = 500;
 
     /** A request's place in the order of answers. */
@@ -54,6 +56,13 @@
     /** What has begun to come is not waited for. */
     private boolean cut;
     private boolean resuming;
+    /** Answers on their way to the kernel. */
+    private int unwritten;
+    /** When what lies behind an unreadable line came, 0 where nothing does; and for how long it lay. */
+    private long aheadSinceUs;
+    private long behindUs;
+    /** Bytes beyond {@link #MOST_AHEAD} that count towards what all sessions may hold. */
+    private int beyond;
 
     ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
@@ -97,7 +106,7 @@
             closing = true;
             answer(slot, proxy.busy());
         } else if (message instanceof Command c) {
-            slot.exchange = proxy.request(this, slot, c);
+            slot.exchange = proxy.request(this, slot, c, behindUs);
         } else if (message instanceof Command.Greeting) {
             answer(slot, "MN");
         } else if (message instanceof Command.Fault f) {
@@ -139,14 +148,17 @@
         // held, what is missing of a command may be with us
         boolean half = !unread && !decoder.held() && decoder.partial();
         proxy.admission.said(this, half, whole);
+        if (paused && aheadSinceUs == 0 && decoder.ahead() > 0) {
+            aheadSinceUs = proxy.now();
+        }
         whole = false;
         throttle();
         endIfDone();
     }
 
     /**
-     * Bounded memory: a client that asks without end or does not read its answers is not read on. Some bytes
-     * more are taken in unread: else its going, which comes behind them, would not be seen.
+     * Bounded memory: a client that asks without end or does not read its answers is not read on. What it has
+     * sent is taken in undecoded: else its going, which comes behind that, would not be seen.
      */
     private void throttle() {
         if (full()) {
@@ -155,8 +167,22 @@
             resuming = true;
             channel.eventLoop().execute(this::resume); // not at once: this may be in the midst of a read
         }
-        boolean room = !decoder.held() || decoder.ahead() < MOST_AHEAD;
-        channel.config().setAutoRead(room && (!ending || settled));
+        boolean read = roomAhead() && (!ending || settled);
+        if (read && !channel.config().isAutoRead()) {
+            proxy.catchUp.begin(); // more lies there than was read, perhaps with the end behind it
+        }
+        channel.config().setAutoRead(read);
+    }
+
+    private boolean roomAhead() {
+        boolean sound = !lost && !paused;
+        int now = decoder.held() && channel.isActive() ? Math.max(0, decoder.ahead() - MOST_AHEAD) : 0;
+        if (now > beyond && (!sound || !proxy.ahead.take(now - beyond))) {
+            return false;
+        }
+        proxy.ahead.give(Math.max(0, beyond - now));
+        beyond = now;
+        return now == 0 || sound;
     }
 
     private boolean full() {
@@ -177,7 +203,10 @@
     private void resume() {
         resuming = false;
         if (channel.isActive() && !full()) {
+            behindUs = aheadSinceUs == 0 ? 0 : proxy.now() - aheadSinceUs;
             decoder.resume(channel.pipeline().context(decoder));
+            behindUs = 0;
+            aheadSinceUs = decoder.held() ? aheadSinceUs : 0;
         }
     }
 
@@ -207,7 +236,11 @@
         while (!slots.isEmpty() && slots.peek().answer != null) {
             ByteBuf next = slots.poll().answer;
             int size = next.readableBytes();
-            channel.write(next).addListener(f -> proxy.untaken(-size));
+            unwritten++;
+            channel.write(next).addListener(f -> {
+                proxy.untaken(-size);
+                written();
+            });
             any = true;
         }
         if (any) {
@@ -219,12 +252,26 @@
                 channel.eventLoop().schedule(() -> channel.close(), PAUSE_MS, TimeUnit.MILLISECONDS);
             } else if (closing) {
                 endIfDone();
-            } else {
-                proxy.idle(this);
+            } else if (unwritten > 0) {
+                channel.eventLoop().schedule(this::idleIfDone, TAKEN_MS, TimeUnit.MILLISECONDS);
             }
         }
     }
 
+    private void written() {
+        unwritten--;
+        if (unwritten == 0) {
+            idleIfDone();
+        }
+    }
+
+    /** Idle is also that its answers have gone to the kernel: closed for room before, it would lose them. */
+    private void idleIfDone() {
+        if (slots.isEmpty() && !lost && !closing && channel.isActive()) {
+            proxy.idle(this);
+        }
+    }
+
     void abort() {
         channel.close();
     }
@@ -254,19 +301,23 @@
         ending = true;
         unread = true;
         channel.config().setAutoRead(false);
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-            .addListener(f -> ((DuplexChannel) channel).shutdownOutput());
         EventLoop loop = channel.eventLoop();
-        loop.schedule(() -> {
-            settled = true;
-            throttle();
-        }, SETTLE_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+            ((DuplexChannel) channel).shutdownOutput();
+            loop.schedule(() -> {
+                settled = true;
+                throttle();
+            }, SETTLE_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        });
+        loop.schedule(() -> channel.close(), TAKEN_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         proxy.closed(this);
+        proxy.ahead.give(beyond);
+        beyond = 0;
         for (Slot s : slots) {
             if (s.answer != null) {
                 proxy.untaken(-s.answer.readableBytes());
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -34,10 +34,11 @@
 public final class Proxy implements Router.Actions {
     /** Descriptors for the program itself: libraries, selector, listener, discovery. */
     private static final int OWN_DESCRIPTORS = 48;
-    /** Bytes of values: of open requests, still coming from clients, and of answers not taken yet. */
+    /** Bytes: of open requests' values, coming from clients, of answers not taken yet, not decoded yet. */
     private static final long MOST_HELD_BYTES = 6L << 20;
     private static final long MOST_COMING_BYTES = 4L << 20;
     private static final long MOST_UNTAKEN_BYTES = 12L << 20;
+    private static final long MOST_AHEAD_BYTES = 1L << 20;
     private static final int MOST_OPEN = 4096;
     private static final long DEFAULT_ADVICE_US = 500_000;
     /** The client's clock started when it sent: what an answer needs to be with it in time. */
@@ -54,6 +55,8 @@
     private static final long TICK_US = 20_000;
     private static final long JUST_US = 5_000;
     private static final long LATE_TOLD_US = 50_000;
+    /** No attempt may begin 0.1 s after its client has gone: a pause of a third of that is caught up with. */
+    private static final long CATCH_UP_US = 30_000;
     private static final int BACKLOG = 512;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
@@ -65,6 +68,8 @@
     private final long unixAtOriginUs;
     private final Command.Names names;
     private final Budget coming = new Budget(MOST_COMING_BYTES);
+    /** Undecoded bytes of clients with many open requests, beyond what each may send ahead. */
+    final Budget ahead = new Budget(MOST_AHEAD_BYTES);
     private final NodePools pools;
     final Discovery discovery;
     private final Router router;
@@ -72,6 +77,7 @@
     /** The ids that clients gave to what is in the table. */
     private final Set<String> openIds = new HashSet<>();
     final Admission admission;
+    final CatchUp catchUp;
     private final Router.Request request = new Router.Request();
     private final Router.Report report = new Router.Report();
     private final Set<Integer> listed = new HashSet<>();
@@ -96,6 +102,7 @@
         int left = config.sockets - OWN_DESCRIPTORS;
         int mostSessions = left / 2;
         admission = new Admission(this, mostSessions, config.sockets / 4, loop);
+        catchUp = new CatchUp(loop);
         names = new Command.Names(new HashMap<>(), new HashMap<>());
         for (int i = 0; i < config.settings.classes.length; i++) {
             names.classes().put(config.settings.classes[i].name, i);
@@ -235,6 +242,9 @@
         if (lastLateUs > LATE_TOLD_US) {
             log.line("the loop stood still for " + lastLateUs / 1000 + " ms");
         }
+        if (lastLateUs > CATCH_UP_US) {
+            catchUp.begin();
+        }
         lastTickUs = now;
         tickDueUs = now + TICK_US;
         loop.schedule(this::tick, TICK_US, TimeUnit.MICROSECONDS);
@@ -250,6 +260,18 @@
         return late > TICK_US ? late : 0;
     }
 
+    /**
+     * Whether a client's end that came while the loop stood still may be unread: then no attempt begins.
+     * {@code caughtUp}: this one has waited for that already.
+     */
+    boolean mustCatchUp(boolean caughtUp) {
+        if (tickDueUs != 0 && now() - tickDueUs > CATCH_UP_US) {
+            catchUp.begin();
+            return true;
+        }
+        return !caughtUp && catchUp.running();
+    }
+
     /** The module's clock: microseconds, never going back. */
     long now() {
         return (System.nanoTime() - origin) / 1000;
@@ -294,7 +316,8 @@
 
     // ---- requests ----
 
-    Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
+    /** {@code behindUs}: for how long the command has lain undecoded; its time began to count before. */
+    Exchange request(ClientSession session, ClientSession.Slot slot, Command c, long behindUs) {
         if (table.size() >= Math.min(MOST_OPEN, config.settings.maxOpen)
                 || heldBytes + c.valueBytes() > MOST_HELD_BYTES) {
             session.answer(slot, busy());
@@ -309,7 +332,7 @@
         long classUs = config.settings.classes[c.requestClass].deadlineUs;
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
         waitUs = classUs > 0 ? Math.min(waitUs, classUs) : waitUs; // no client holds a place for longer
-        long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - stoodStillUs(now);
+        long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - Math.max(stoodStillUs(now), behindUs);
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs);
         table.put(x.id, x);
         heldBytes += c.valueBytes();
@@ -335,8 +358,8 @@
     void clientGone(Exchange x) {
         if (!x.answered) {
             concluded(x);
-            // the module may not be allowed to take attempts back; what waits for a connection was never sent
-            x.attempts.stream().filter(a -> !a.over && !a.connection.isUp())
+            // the module may not be allowed to take attempts back; what has not begun was never sent
+            x.attempts.stream().filter(a -> !a.over && !a.begun)
                 .toList().forEach(a -> giveUp(a, Router.Outcome.NOT_SENT));
             event(() -> router.onAborted(now(), x.id, this));
         }
