The client that holds most untaken answers is closed, not the one just answered

Answers that clients have not taken may hold 12 MB in all. Beyond that ClientSession.answer closed the connection whose answer was just made, whoever held the bytes: a client that takes its answers lost one, and the client that filled the bound stayed. Each session now counts its bytes, and the one with most is closed; its bytes are given back at once, so that one excess closes one client.

Test: 12 answers of 1 MB wait behind a request that is never answered, then another client is served 1 MB. Without the change that client was closed unanswered.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -1,6 +1,7 @@
 package holdproxy.net;
 
 import io.netty.channel.EventLoop;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -176,6 +177,11 @@
         halfSaid.remove(s);
     }
 
+    /** Clients that do not take their answers must not fill our memory with them: who holds most goes. */
+    void closeGreediest() {
+        all.stream().max(Comparator.comparingLong(ClientSession::untaken)).ifPresent(ClientSession::drop);
+    }
+
     boolean none() {
         return all.isEmpty();
     }
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -54,6 +54,8 @@
     /** What has begun to come is not waited for. */
     private boolean cut;
     private boolean resuming;
+    private long untakenBytes;
+    private boolean dropped;
 
     ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
@@ -198,16 +200,18 @@
         }
         slot.answer = answer;
         slot.exchange = null;
-        proxy.untaken(answer.readableBytes());
+        untaken(answer.readableBytes());
         if (proxy.tooMuchUntaken()) {
-            channel.close(); // clients that do not take their answers must not fill our memory with them
-            return;
+            proxy.admission.closeGreediest();
+            if (dropped) {
+                return;
+            }
         }
         boolean any = false;
         while (!slots.isEmpty() && slots.peek().answer != null) {
             ByteBuf next = slots.poll().answer;
             int size = next.readableBytes();
-            channel.write(next).addListener(f -> proxy.untaken(-size));
+            channel.write(next).addListener(f -> untaken(-size));
             any = true;
         }
         if (any) {
@@ -225,6 +229,26 @@
         }
     }
 
+    /** Bytes of answers that the client has not taken yet. */
+    long untaken() {
+        return untakenBytes;
+    }
+
+    private void untaken(int change) {
+        if (!dropped) {
+            untakenBytes += change;
+            proxy.untaken(change);
+        }
+    }
+
+    /** Gives up its answers: their bytes no longer count, though the channel lets go of some a moment later. */
+    void drop() {
+        proxy.untaken(-untakenBytes);
+        untakenBytes = 0;
+        dropped = true;
+        channel.close();
+    }
+
     void abort() {
         channel.close();
     }
@@ -269,7 +293,7 @@
         proxy.closed(this);
         for (Slot s : slots) {
             if (s.answer != null) {
-                proxy.untaken(-s.answer.readableBytes());
+                untaken(-s.answer.readableBytes());
                 s.answer.release();
             } else if (s.exchange != null) {
                 proxy.clientGone(s.exchange);
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -362,10 +362,14 @@
     }
 
     /** Bytes of answers that clients have not taken yet. */
-    void untaken(int change) {
+    void untaken(long change) {
         untakenBytes += change;
     }
 
+    long untaken() {
+        return untakenBytes;
+    }
+
     boolean tooMuchUntaken() {
         return untakenBytes > MOST_UNTAKEN_BYTES;
     }
--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -208,4 +208,40 @@
             assertTrue(sent < 900, "60 MB were read");
         }
     }
+
+    /** Danger: a client that leaves its answers where they are had others closed, just as they were answered. */
+    @Test
+    void whereAnswersNotTakenFillTheBoundTheClientThatHoldsMostIsClosedAndNoOther() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":60000.0"), 1024)) {
+            String value = "v".repeat(1_000_000);
+            Peer greedy = f.client();
+            greedy.send(Fixture.read("g0", 60_000)); // never answered: what comes behind it waits with us
+            Peer.Listener node = f.nodes.get(0);
+            Peer first = node.next();
+            Peer second = null;
+            assertTrue(first.line().contains(" Og0 "));
+            for (int i = 1; i <= 12; i++) {
+                greedy.send(Fixture.read("g" + i, 60_000));
+                second = i == 1 ? node.next() : second; // idle again once it has answered
+                assertTrue(second.line().contains(" Og" + i + " "));
+                second.send("VA " + value.length() + " Og" + i + "\r\n" + value + "\r\n");
+                untaken(f, i * 1_000_000L);
+            }
+            Peer usual = f.client();
+            usual.send(Fixture.read("u1", 60_000));
+            assertTrue(second.line().contains(" Ou1 "));
+            second.send("VA " + value.length() + " Ou1\r\n" + value + "\r\n");
+            usual.expect("VA " + value.length() + " Ou1", value);
+            greedy.expectEnd();
+            first.expectEnd();
+        }
+    }
+
+    /** Waits until the proxy holds more than so many bytes of answers. */
+    private static void untaken(Fixture f, long bytes) throws Exception {
+        long end = System.nanoTime() + 10_000_000_000L;
+        while (f.loop.submit(() -> f.proxy.untaken()).get() < bytes) {
+            assertTrue(System.nanoTime() < end, "the answers do not come");
+        }
+    }
 }
