The listener is closed only once its accept queue is empty

0.5 s after SIGTERM the listener was closed with whatever was in its accept queue: a pass of the loop takes up 16, so after a pause of the loop the others were reset, and those of the last pass were shut before their request was read. Now passes go on until one takes up nothing, but for no more connections than the queue holds.

Test: the loop is held while 100 clients connect and ask, the proxy is told to end, and the loop goes on. Before the change the first of them already ended without its answer; now all 100 are answered.

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -85,6 +85,8 @@
     private long heldBytes;
     private long untakenBytes;
     private volatile Channel listener;
+    /** Connections of clients so far. */
+    private long accepted;
     /** Connections that came before the warm-up was over: not served until it is; null from then on. */
     private List<ClientSession> early;
     private boolean draining;
@@ -203,6 +205,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
+                accepted++;
                 Command.Decoder decoder = new Command.Decoder(names, coming);
                 ClientSession session = new ClientSession(proxy, decoder);
                 ch.pipeline().addLast(decoder, session);
@@ -567,7 +570,8 @@
             if (listener == null) {
                 finishDrain(); // nobody could come yet
             } else {
-                loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
+                // no more than the queue holds: those who go on coming must not keep it open
+                loop.schedule(() -> emptyAcceptQueue(accepted + BACKLOG), openMs, TimeUnit.MILLISECONDS);
             }
         });
         try {
@@ -586,6 +590,23 @@
         return longest + KILL_AFTER_US - KILL_MARGIN_US;
     }
 
+    /**
+     * What waits in the accept queue was sent before our end and is taken up first, some in each pass of the
+     * loop, until a pass finds nothing. Closed at once, the listener resets the rest, and who was taken up in
+     * the last pass ends unread.
+     */
+    private void emptyAcceptQueue(long until) {
+        long before = accepted;
+        loop.schedule(() -> {
+            // due in the next pass at the earliest: the kernel was asked for connections and bytes in between
+            if (accepted == before || accepted >= until) {
+                stopListening();
+            } else {
+                emptyAcceptQueue(until);
+            }
+        }, 0, TimeUnit.MILLISECONDS);
+    }
+
     private void stopListening() {
         listener.close();
         listener = null;
--- a/src/test/java/holdproxy/net/DrainTest.java
+++ b/src/test/java/holdproxy/net/DrainTest.java
@@ -6,6 +6,7 @@
 import holdproxy.Router;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -106,6 +107,39 @@
         }
     }
 
+    /** Danger: closed with more in its queue than one pass of the loop takes up, the listener resets the rest. */
+    @Test
+    void whoWaitsInTheAcceptQueueWhenTheListenerEndsIsStillServed() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            CountDownLatch connected = new CountDownLatch(1);
+            f.loop.execute(() -> {
+                try {
+                    connected.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            List<Peer> queued = new ArrayList<>();
+            for (int i = 0; i < 100; i++) {
+                Peer p = f.client();
+                p.send("mn\r\n");
+                queued.add(p);
+            }
+            Thread drain = new Thread(() -> f.proxy.drain(0), "drain");
+            drain.start();
+            while (drain.getState() != Thread.State.TIMED_WAITING) {
+                Thread.onSpinWait(); // its task is in the loop's queue now
+            }
+            connected.countDown();
+            for (Peer p : queued) {
+                p.expect("MN");
+                p.expectEnd();
+                p.close();
+            }
+            drain.join();
+        }
+    }
+
     /** Danger: fixed at 3.6 s, the end came before requests of a longer deadline were answered. */
     @Test
     void theEndWaitsForTheLongestDeadlineOfTheSettings() {
