Over a quarter of the descriptors, idle clients go after 2 s also if they have come back

Clients may hold a third of the descriptors for requests, and a connection may be closed after it has rested 2 s. Beyond a quarter only those that had asked once were closed; idle ones that had asked twice stayed for 10 s, so that a crowd of them left few connections for requests. Now the longest idle go after 2 s as long as more than a quarter is held by clients that have asked.

Test: 38 clients ask twice and rest, 32 may stay.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -26,6 +26,8 @@
     private static final long IDLE_US = 10_000_000;
     /** Where clients are short of connections, one that waits for a request gets it sooner than this. */
     private static final long STAYS_US = 80_000;
+    /** There, one that has come back is spared no longer than it may be; until then it is likely to again. */
+    private static final long COMES_BACK_US = 2_000_000;
     private static final long SWEEP_MS = 200;
 
     private final Proxy proxy;
@@ -135,16 +137,21 @@
         return all.size() - strangers.size() - leaving.size() > mostKnown;
     }
 
-    /** Those that have come back are spared: a new connection for each request costs more than it frees. */
+    /** Those that have come back are spared longer: a new connection for each request costs more than it frees. */
     private void trim() {
         trimming = false;
+        trim(askedOnce, STAYS_US);
+        trim(idle, COMES_BACK_US);
+    }
+
+    private void trim(Set<ClientSession> longestIdleFirst, long staysUs) {
         long now = proxy.now();
-        ClientSession s = first(askedOnce);
-        while (s != null && tooManyKnown() && now - s.idleUs > STAYS_US) {
+        ClientSession s = first(longestIdleFirst);
+        while (s != null && tooManyKnown() && now - s.idleUs > staysUs) {
             left(s);
             leaving.add(s);
             s.close();
-            s = first(askedOnce);
+            s = first(longestIdleFirst);
         }
     }
 
--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -112,6 +112,29 @@
         }
     }
 
+    /** Danger: spared for 10 s because they had come back once, idle clients held all that clients may open. */
+    @Test
+    void idleOnesThatHaveComeBackGoAfterTwoSecondsWhereClientsAreShortOfConnections() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s, 128)) { // 32 of them are for clients that have asked
+            List<Peer> crowd = new ArrayList<>();
+            for (int i = 0; i < 38; i++) {
+                Peer p = f.client();
+                greeted(p);
+                greeted(p);
+                crowd.add(p);
+            }
+            Peer silent = f.client(); // ends after 2 s, when the others have rested longer
+            silent.expectEnd();
+            for (Peer p : crowd.subList(0, 6)) {
+                p.socket.setSoTimeout(5000); // where there is room they stay for 10 s
+                p.expectEnd();
+            }
+            for (int i = 6; i < 38; i++) {
+                served(f, crowd.get(i), "a" + i);
+            }
+        }
+    }
+
     /** Danger: closed for room as soon as they had come, clients of a burst lost what they had sent along. */
     @Test
     void aBurstBeyondTheBoundIsAnsweredAlsoWhereItWasNotReadYet() throws Exception {
