--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -63,6 +63,8 @@
     private long behindUs;
     /** Bytes beyond {@link #MOST_AHEAD} that count towards what all sessions may hold. */
     private int beyond;
+    private long untakenBytes;
+    private boolean dropped;
 
     ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
@@ -227,10 +229,12 @@
         }
         slot.answer = answer;
         slot.exchange = null;
-        proxy.untaken(answer.readableBytes());
+        untaken(answer.readableBytes());
         if (proxy.tooMuchUntaken()) {
-            channel.close(); // clients that do not take their answers must not fill our memory with them
-            return;
+            proxy.admission.closeGreediest();
+            if (dropped) {
+                return;
+            }
         }
         boolean any = false;
         while (!slots.isEmpty() && slots.peek().answer != null) {
@@ -238,7 +242,7 @@
             int size = next.readableBytes();
             unwritten++;
             channel.write(next).addListener(f -> {
-                proxy.untaken(-size);
+                untaken(-size);
                 written();
             });
             any = true;
@@ -272,6 +276,26 @@
         }
     }
 
+    /** Bytes of answers that the client has not taken yet. */
+    long untaken() {
+        return untakenBytes;
+    }
+
+    private void untaken(int change) {
+        if (!dropped) {
+            untakenBytes += change;
+            proxy.untaken(change);
+        }
+    }
+
+    /** Gives up its answers: their bytes no longer count, though the channel lets go of some a moment later. */
+    void drop() {
+        proxy.untaken(-untakenBytes);
+        untakenBytes = 0;
+        dropped = true;
+        channel.close();
+    }
+
     void abort() {
         channel.close();
     }
@@ -320,7 +344,7 @@
         beyond = 0;
         for (Slot s : slots) {
             if (s.answer != null) {
-                proxy.untaken(-s.answer.readableBytes());
+                untaken(-s.answer.readableBytes());
                 s.answer.release();
             } else if (s.exchange != null) {
                 proxy.clientGone(s.exchange);
