Keep what all proxies send to a cold node within its budget

Every proxy admitted the same hashed part of the keys to a cold node, so the sum followed how popular these keys are. A proxy keeps popular keys away once it has counted them; one that is new, restarted or quiet has not, and nothing else bounded what it sends.

Change, in the module alone and from the settings: - each proxy keeps a token bucket for a cold node: what warm nodes answer to it for their weight, times present capacity and tipMultiple, is what a full bucket and its refill make in fallUs, so that all proxies' buckets together make N. Where it knows no warm node, the even share of its requests stands in. - single requests exceed such a bucket where proxies are many and quiet, so there the buckets hold at least one request and popular keys are bounded otherwise: a proxy that has counted s requests for each node lately misses a key of d times the even share with chance exp(-d s), and admits keys by a lot of its own with chance e x present capacity x tipMultiple x s; the product adds up to N at most, whatever d is. The shared lots stay: the new limits only cut what they let through. Hot keys and further attempts stay away.

--- a/src/main/java/holdproxy/Backend.java
+++ b/src/main/java/holdproxy/Backend.java
@@ -16,6 +16,12 @@
     /** Share of its cores busy, as last reported. */
     final DecayingValue busy = new DecayingValue(RoutingPolicy.BUSY_FADE_US);
 
+    /** What it answered to us. */
+    final DecayingValue served = new DecayingValue(RoutingPolicy.RATE_US);
+    /** While it is cold: what is left of our budget, and when it was last added to; MIN_VALUE: not yet. */
+    double tokens = 1;
+    long tokensAt = Long.MIN_VALUE;
+
     /** When one of our attempts last came back, leaving its connection idle; MIN_VALUE: none is open. */
     long idleSince = Long.MIN_VALUE;
 
--- a/src/main/java/holdproxy/Fleet.java
+++ b/src/main/java/holdproxy/Fleet.java
@@ -53,6 +53,9 @@
         if (n.startedUs != t.startedUs) {
             t.chance.set(0, 0); // a new process: what the old one did no longer counts
             t.refusedAt = Long.MIN_VALUE;
+            t.served.set(0, 0);
+            t.tokens = 1;
+            t.tokensAt = Long.MIN_VALUE;
         }
         t.cell = n.cell;
         t.zone = n.zone;
--- a/src/main/java/holdproxy/RoutingPolicy.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -68,6 +68,10 @@
     static final int HOT_KEY_BUCKETS = 256;
     // Part of a cold node's capacity that admitted keys may fill at first: each miss costs it extra work.
     static final double COLD_PART = 0.4;
+    // Its bucket of tokens holds this part of what comes in while it falls; two where a proxy sends it few.
+    static final double BUCKET_DEPTH = 0.25;
+    static final double BUCKET_LEAST = 2;
+    static final long WARM_RATE_EVERY_US = 50_000;
     // Retry budget: further attempts and hedged requests are paid from what requests earn.
     static final double RETRY_BUDGET_EARN = 0.1;
     static final double RETRY_BUDGET_MOST = 10;
@@ -130,6 +134,9 @@
     private final Fleet fleet;
     private final DecayingValue originChance = new DecayingValue(NODE_FADE_US);
     private final DecayingValue idleCut = new DecayingValue(IDLE_CUT_FADE_US);
+    private final long ownSalt;
+    private double warmRate;
+    private long warmRateAt = Long.MIN_VALUE / 2;
     private boolean subscribed;
     /** The watch that was subscribed to has told something. */
     private boolean watched;
@@ -146,6 +153,7 @@
         hotKeys = new Blue(LEVELS, HOT_KEY_BUCKETS, HOT_KEY_US, random.next());
         rotateAt = nowUs + (long) (ROTATE_US * (0.5 + 0.5 * random.unit()));
         fleet = new Fleet(settings);
+        ownSalt = random.next();
         leastWorth = Math.max(1e-6, Arrays.stream(set.classes).mapToDouble(c -> c.worth).min().orElse(1));
         asked = DecayingValue.array(Math.max(1, settings.tenants.length), RATE_US);
         admitted = DecayingValue.array(asked.length, RATE_US);
@@ -170,6 +178,7 @@
         watched = subscribed && kind != ListKind.CACHED;
         askFailures = 0;
         fleet.apply(kind, nodes, count);
+        warmRateAt = Long.MIN_VALUE / 2;
     }
 
     private double askPause(ListKind kind) {
@@ -284,12 +293,13 @@
     }
 
     /**
-     * Slow start of cold nodes: every proxy admits the same growing set of keys, so that the sum stays within
-     * what a node warming up can do. Hot keys and further attempts stay away: they would come on top of
-     * that budget.
+     * Slow start of cold nodes: every proxy admits the same growing set of keys; hot keys and further
+     * attempts stay away. As the sum of all proxies follows how popular the admitted keys are, each also
+     * keeps within its part of the budget N: what warm nodes take, times present capacity and the multiple
+     * at which a cold node falls.
      */
     private boolean slowStartAdmits(Backend t, InFlightRequest r, long key, long now) {
-        if (t.startedUs == Long.MIN_VALUE || now - t.startedUs >= set.coldUs) {
+        if (!isCold(t, now)) {
             return true;
         } else if (r.hot || r.attempts > 0) {
             return false;
@@ -297,7 +307,68 @@
         double warm = Math.max(0, (double) (now - t.startedUs) / set.coldUs);
         double capacity = set.coldFrom + (1 - set.coldFrom) * warm;
         double part = COLD_PART + (1 - COLD_PART) * warm;
-        return Blue.unit(Blue.mix(key + 31 * Blue.mix(t.id))) < capacity * part;
+        if (slowStartLot(key, t.id) >= capacity * part) {
+            return false;
+        }
+        double budget = capacity * set.tipMultiple;
+        return budget == 0 || set.fallUs == 0
+                || tellsPopular(t, r, key, budget, now) && hasTokens(t, budget, now);
+    }
+
+    private boolean isCold(Backend t, long now) {
+        return t.startedUs != Long.MIN_VALUE && now - t.startedUs < set.coldUs;
+    }
+
+    static double slowStartLot(long key, int id) {
+        return Blue.unit(Blue.mix(key + 31 * Blue.mix(id)));
+    }
+
+    /**
+     * A proxy that is new or quiet can't tell the popular keys from the others: one asked for d times a
+     * node's even share is still unseen here with chance exp(-d x seen), seen being our requests for each
+     * node lately. Admitted by a lot of our own with chance e x budget x seen, such a key adds up to the
+     * budget at most over all proxies, whatever d is.
+     */
+    private boolean tellsPopular(Backend t, InFlightRequest r, long key, double budget, long now) {
+        double chance = Math.E * budget * hotKeyCount.get(now) / fleet.readyCount;
+        return r.key == 0 || chance >= 1 || slowStartLot(key ^ ownSalt, t.id) < chance;
+    }
+
+    /**
+     * A cold node's token bucket: full, and with what comes in while the node falls, it holds our part of N.
+     * So all proxies' buckets together stay within N, but for those of proxies so quiet that single requests
+     * exceed their part.
+     */
+    private boolean hasTokens(Backend t, double budget, long now) {
+        double rate = budget * t.weight * warmRate(now) / (1 + BUCKET_DEPTH);
+        double most = Math.max(BUCKET_LEAST, rate * set.fallUs * BUCKET_DEPTH);
+        long since = t.tokensAt == Long.MIN_VALUE ? now : t.tokensAt;
+        t.tokens = Math.min(most, t.tokens + rate * (now - since));
+        t.tokensAt = now;
+        return t.tokens >= 1;
+    }
+
+    /**
+     * Requests a microsecond and unit of weight that warm nodes lately answered to this proxy; where it knows
+     * none, the even share of what it is asked for.
+     */
+    private double warmRate(long now) {
+        if (now - warmRateAt >= WARM_RATE_EVERY_US) {
+            double served = 0;
+            double weight = 0;
+            double all = 0;
+            for (int i = 0; i < fleet.readyCount; i++) {
+                Backend t = fleet.ready[i];
+                all += t.weight;
+                if (!isCold(t, now)) {
+                    served += t.served.get(now);
+                    weight += t.weight;
+                }
+            }
+            warmRateAt = now;
+            warmRate = weight > 0 ? served / countedUs(now) / weight : rate(now) / 1e6 / all;
+        }
+        return warmRate;
     }
 
     /**
@@ -369,6 +440,7 @@
             closeIdle(t, out);
         }
         r.idledUs[r.attempts] = t.idleSince != Long.MIN_VALUE ? now - t.idleSince : -1;
+        t.tokens -= isCold(t, now) ? 1 : 0;
         r.sent(t, now);
         out.send(r.id, t.id, giveUpAt(r) < r.due ? left : 0);
     }
@@ -483,6 +555,9 @@
             t.busy.set(report.busy, now);
         }
         boolean fromOrigin = fleet.isOrigin(t);
+        if (o == Outcome.OK || o == Outcome.MISS) {
+            t.served.count(now);
+        }
         if (o != Outcome.CANCELLED && o != Outcome.NOT_SENT) {
             learn(r, t, fromOrigin, o, note, latency, now);
         }
@@ -543,7 +618,12 @@
 
     /** Requests a second here. */
     private double rate(long now) {
-        return all.get(now) / (RATE_US * (1 - Math.exp((startedAt - now) / RATE_US)) + 1e6) * 1e6;
+        return all.get(now) / countedUs(now) * 1e6;
+    }
+
+    /** The time over which a value fading in RATE_US has counted; and a second, as the first is chance. */
+    private double countedUs(long now) {
+        return RATE_US * (1 - Math.exp((startedAt - now) / RATE_US)) + 1e6;
     }
 
     private void nodeEvidence(Backend t, boolean failure, double weight, long now) {
