--- /dev/null
+++ b/src/scale/java/holdproxy/scale/Experiments.java
@@ -0,0 +1,31 @@
+package holdproxy.scale;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The experiments that scenario files can name. */
+final class Experiments {
+    private static final Map<String, Experiment> BY_NAME = new LinkedHashMap<>();
+
+    static {
+        List<Experiment> all = new ArrayList<>();
+        all.forEach(e -> BY_NAME.put(e.name(), e));
+    }
+
+    private Experiments() {
+    }
+
+    static List<Experiment> all() {
+        return List.copyOf(BY_NAME.values());
+    }
+
+    static Experiment named(String name) {
+        Experiment e = BY_NAME.get(name);
+        if (e == null) {
+            throw new ScaleException("no experiment is named '" + name + "'; there are " + BY_NAME.keySet());
+        }
+        return e;
+    }
+}
--- /dev/null
+++ b/src/scale/java/holdproxy/scale/Result.java
@@ -0,0 +1,132 @@
+package holdproxy.scale;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** What a run has measured. It holds no time of day: a run in virtual time repeats it byte for byte. */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record Result(String scenario, long seed, List<Measured> points, List<Fit> fits,
+        Map<String, List<String>> differences) {
+    private static final JsonMapper JSON = JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
+
+    /** One point's measurements. */
+    public record Measured(String experiment, Map<String, Double> sizes, Map<String, Double> parameters,
+            Map<String, Measurement> measured) {
+
+        boolean isOf(String name, Scenario.Point point) {
+            return experiment.equals(name) && sizes.equals(point.sizes()) && parameters.equals(point.parameters());
+        }
+    }
+
+    static Result of(Scenario scenario, long seed, List<Measured> points) {
+        List<Fit> fits = new ArrayList<>();
+        Map<String, List<String>> differences = new LinkedHashMap<>();
+        for (Scenario.Sweep s : scenario.sweeps()) {
+            List<Measured> mine = points.stream()
+                .filter(m -> s.points().stream().anyMatch(p -> m.isOf(s.experiment(), p))).toList();
+            s.fits().forEach(line -> fits.addAll(fits(s, line, mine)));
+            List<String> named = Experiments.named(s.experiment()).differences();
+            if (!named.isEmpty()) {
+                differences.put(s.experiment(), named);
+            }
+        }
+        return new Result(scenario.name(), seed, points, fits, differences);
+    }
+
+    private static List<Fit> fits(Scenario.Sweep sweep, Scenario.Line line, List<Measured> points) {
+        List<String> along = List.of(line.x().split("\\*"));
+        Map<Map<String, Double>, List<double[]>> lines = new LinkedHashMap<>();
+        String unit = "";
+        for (Measured m : points) {
+            Measurement y = m.measured().get(line.y());
+            if (y == null) {
+                throw new ScaleException(sweep.experiment() + " measures no '" + line.y() + "'; it measures "
+                    + m.measured().keySet());
+            }
+            unit = y.unit();
+            Map<String, Double> others = new LinkedHashMap<>(m.sizes());
+            if (along.size() == 1) {
+                others.remove(line.x());
+            } else {
+                others.clear();
+            }
+            double x = along.stream().mapToDouble(a -> m.sizes().get(a)).reduce(1, (a, b) -> a * b);
+            lines.computeIfAbsent(others, k -> new ArrayList<>()).add(new double[] {x, y.value()});
+        }
+        List<Fit> fits = new ArrayList<>();
+        for (Map.Entry<Map<String, Double>, List<double[]>> l : lines.entrySet()) {
+            fits.add(Fit.of(sweep.experiment(), line, unit, l.getKey(), l.getValue()));
+        }
+        return fits;
+    }
+
+    static Result load(Path file) {
+        try {
+            return JSON.readValue(file.toFile(), Result.class);
+        } catch (IOException e) {
+            throw new ScaleException("the result " + file + " cannot be read: " + e.getClass().getSimpleName());
+        }
+    }
+
+    /** Writes {@code result.json} and {@code table.md}; a reader never finds half a file. */
+    void write(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        Path part = folder.resolve("result.json.part");
+        Files.writeString(part, JSON.writeValueAsString(this) + "\n");
+        Files.move(part, folder.resolve("result.json"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        Files.writeString(folder.resolve("table.md"), table());
+    }
+
+    String table() {
+        StringBuilder text = new StringBuilder("# " + scenario + ", seed " + seed + "\n");
+        Map<String, List<Measured>> by = new LinkedHashMap<>();
+        points.forEach(m -> by.computeIfAbsent(m.experiment + " " + m.sizes.keySet(), k -> new ArrayList<>()).add(m));
+        for (List<Measured> list : by.values()) {
+            Measured first = list.get(0);
+            text.append("\n## ").append(first.experiment()).append("\n\n| measured | unit |");
+            list.forEach(m -> text.append(' ').append(new Scenario.Point(m.sizes, Map.of())).append(" |"));
+            text.append("\n| --- | --- |").append(" ---: |".repeat(list.size())).append('\n');
+            first.measured().forEach((name, value) -> {
+                text.append("| ").append(name).append(" | ").append(value.unit()).append(" |");
+                list.forEach(m -> text.append(' ').append(m.measured().containsKey(name)
+                    ? shown(m.measured().get(name).value()) : "").append(" |"));
+                text.append('\n');
+            });
+        }
+        if (!fits.isEmpty()) {
+            text.append("\n## Fits\n\n| experiment | line | held | slope | intercept | r2 | budget |\n"
+                + "| --- | --- | --- | ---: | ---: | ---: | ---: |\n");
+            fits.forEach(f -> text.append(String.join(" | ", "| " + f.experiment(),
+                f.y() + " (" + f.unit() + ") against " + f.x(), new Scenario.Point(f.others(), Map.of()).toString(),
+                shown(f.slope()), shown(f.intercept()), shown(f.r2()),
+                f.budget() == null ? "" : shown(f.budget()))).append(" |\n"));
+        }
+        differences.forEach((name, list) -> {
+            text.append("\n## What differs from real proxies in ").append(name).append("\n\n");
+            list.forEach(d -> text.append("- ").append(d).append('\n'));
+        });
+        return text.toString();
+    }
+
+    /** Four digits, or all where the number is whole and short. */
+    static String shown(double n) {
+        if (n == Math.rint(n) && Math.abs(n) < 1e9) {
+            return Long.toString((long) n);
+        }
+        double size = Math.abs(n);
+        if (!(size < 1e9 && size >= 1e-4)) {
+            return String.format(Locale.ROOT, "%.3g", n);
+        }
+        int digits = (int) Math.max(0, 3 - Math.floor(Math.log10(size)));
+        return String.format(Locale.ROOT, "%." + digits + "f", n);
+    }
+}
