--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -59,7 +59,7 @@
     record Entry(Router.Node node, String name, InetSocketAddress address) {
     }
 
-    private final Proxy proxy;
+    private final ListSink proxy;
     private final Config config;
     private final EventLoop loop;
     private final Log log;
@@ -75,7 +75,7 @@
     private Future<?> moveRetry;
     private int moveTries;
 
-    Discovery(Proxy proxy, Config config, EventLoop loop, Log log) {
+    Discovery(ListSink proxy, Config config, EventLoop loop, Log log) {
         this.proxy = proxy;
         this.config = config;
         this.loop = loop;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -31,7 +31,7 @@
  * The proxy on real sockets: turns what happens there into the module's events, and its actions into I/O. One
  * thread, the event loop, runs all of it; nothing here is locked and nothing may block.
  */
-public final class Proxy implements Router.Actions {
+public final class Proxy implements Router.Actions, ListSink {
     /** Descriptors for the program itself: libraries, selector, listener, discovery. */
     private static final int OWN_DESCRIPTORS = 48;
     /** Bytes of values: of open requests, still coming from clients, and of answers not taken yet. */
@@ -256,7 +256,8 @@
     }
 
     /** A Unix time on the module's clock; from one reading, so that a start stays the same number. */
-    long monotonic(long unixMs) {
+    @Override
+    public long monotonic(long unixMs) {
         return unixMs * 1000 - unixAtOriginUs;
     }
 
@@ -425,7 +426,8 @@
 
     // ---- the node list ----
 
-    void nodes(Router.ListKind kind, List<Discovery.Entry> entries) {
+    @Override
+    public void nodes(Router.ListKind kind, List<Discovery.Entry> entries) {
         Router.Node[] nodes = new Router.Node[entries.size()];
         Set<Integer> named = new HashSet<>();
         for (int i = 0; i < nodes.length; i++) {
