The scale run measures control: hollow proxies before a stand-in discovery

Hundreds of the real Discovery, Reload and decision module on two event loops, without data paths, before a discovery written from the protocol: lists, watches, 503, resets, silence, calls worked off in turn, regions cut. Calls, bytes, processor time, heap and the time until all are told, at rest and at five faults.

--- a/src/main/java/holdproxy/net/Log.java
+++ b/src/main/java/holdproxy/net/Log.java
@@ -1,7 +1,7 @@
 package holdproxy.net;
 
 /** Changes and faults on standard error, so many in a while: a storm of faults must not fill a disk. */
-final class Log {
+class Log {
     private static final int MOST = 40;
     private static final long WINDOW_NS = 10_000_000_000L;
 
--- a/src/scale/java/holdproxy/scale/Experiments.java
+++ b/src/scale/java/holdproxy/scale/Experiments.java
@@ -1,5 +1,6 @@
 package holdproxy.scale;
 
+import holdproxy.scale.real.ControlExperiment;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,6 +12,7 @@
 
     static {
         List<Experiment> all = new ArrayList<>();
+        all.add(new ControlExperiment());
         all.forEach(e -> BY_NAME.put(e.name(), e));
     }
 
--- a/src/scale/java/holdproxy/scale/Result.java
+++ b/src/scale/java/holdproxy/scale/Result.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -82,7 +83,7 @@
         Files.createDirectories(folder);
         Path part = folder.resolve("result.json.part");
         Files.writeString(part, JSON.writeValueAsString(this) + "\n");
-        Files.move(part, folder.resolve("result.json"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        Files.move(part, folder.resolve("result.json"), StandardCopyOption.REPLACE_EXISTING);
         Files.writeString(folder.resolve("table.md"), table());
     }
 
@@ -103,11 +104,11 @@
             });
         }
         if (!fits.isEmpty()) {
-            text.append("\n## Fits\n\n| experiment | line | held | slope | intercept | r2 | budget |\n"
-                + "| --- | --- | --- | ---: | ---: | ---: | ---: |\n");
+            text.append("\n## Fits\n\n| experiment | line | held | points | slope | intercept | r2 | budget |\n"
+                + "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: |\n");
             fits.forEach(f -> text.append(String.join(" | ", "| " + f.experiment(),
                 f.y() + " (" + f.unit() + ") against " + f.x(), new Scenario.Point(f.others(), Map.of()).toString(),
-                shown(f.slope()), shown(f.intercept()), shown(f.r2()),
+                Integer.toString(f.points().size()), shown(f.slope()), shown(f.intercept()), shown(f.r2()),
                 f.budget() == null ? "" : shown(f.budget()))).append(" |\n"));
         }
         differences.forEach((name, list) -> {
--- /dev/null
+++ b/src/scale/java/holdproxy/scale/real/ControlRun.java
@@ -0,0 +1,350 @@
+package holdproxy.scale.real;
+
+import holdproxy.net.HollowProxy;
+import holdproxy.scale.Measurement;
+import holdproxy.scale.Progress;
+import holdproxy.scale.Scenario;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** One point of {@link ControlExperiment}: a tier of hollow proxies, taken through each phase in turn. */
+final class ControlRun implements AutoCloseable {
+    private static final int LOOPS = 2;
+    private static final long RETIRED_AFTER_MS = 1500;
+    private static final int GC_ROUNDS = 3;
+    private static final long GC_PAUSE_MS = 50;
+
+    private final Scenario.Point point;
+    private final Progress progress;
+    private final int proxies;
+    private final int regions;
+    private final long mostNs;
+    private final Path folder = Files.createTempDirectory("scale");
+    private final MultiThreadIoEventLoopGroup loops = loops(LOOPS, "hollow");
+    private final MultiThreadIoEventLoopGroup serviceLoops = loops(2, "discovery");
+    private final NodeList list = new NodeList(1);
+    private final List<ProxyConfig> configs = new ArrayList<>();
+    private final List<HollowProxy> hollows = new ArrayList<>();
+    private final List<StandInDiscovery.Door> doors = new ArrayList<>();
+    private final List<Long> loopThreads = new ArrayList<>();
+    private final Told told;
+    private final UniformRandomProvider random;
+    private final Map<String, Measurement> measured = new LinkedHashMap<>();
+    private final StandInDiscovery service;
+    private long heapEmpty;
+    private int replacements;
+    private NodeList second;
+
+    ControlRun(Scenario.Point point, long seed, Progress progress) throws Exception {
+        this.point = point;
+        this.progress = progress;
+        proxies = point.count("proxies");
+        regions = Math.max(1, Math.min(proxies, point.count("regions", 4)));
+        mostNs = (long) (point.number("mostS", 25) * 1e9);
+        told = new Told(proxies);
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        service = new StandInDiscovery(serviceLoops.next(), list, capacity());
+    }
+
+    private static MultiThreadIoEventLoopGroup loops(int count, String name) {
+        return new MultiThreadIoEventLoopGroup(count, new DefaultThreadFactory(name, true),
+            NioIoHandler.newFactory());
+    }
+
+    private StandInDiscovery.Capacity capacity() {
+        return new StandInDiscovery.Capacity(point.number("linesPerS", 20_000),
+            (long) point.number("callWaitMs", 2000), point.count("callsWaiting", 0));
+    }
+
+    Map<String, Measurement> measure() throws Exception {
+        int nodes = point.count("nodes");
+        for (int r = 0; r < regions; r++) {
+            int port = point.count("port", 0);
+            doors.add(service.door(port == 0 ? 0 : port + r, (d, v) -> { }));
+        }
+        list.publish(nodes(nodes));
+        list.forgetChanges();
+        create();
+        phase("start", 0, proxies, 0, () -> {
+            told.notBefore(0, proxies, System.nanoTime());
+            hollows.forEach(HollowProxy::start);
+            return list.latest();
+        });
+        phase("rest", 0, proxies, point.number("restS", 6), () -> list.latest());
+        put("rest.heapEach", (heap() - heapEmpty) / (double) proxies, "B");
+        if (point.count("replaced", 8) > 0) {
+            phase("rolling", 0, proxies, 0, this::roll);
+        }
+        if (point.number("restartS", 3) > 0 && regions > 1) {
+            phase("restart", first(1), first(2), 0, this::restartRegion);
+        }
+        if (point.number("lossS", 6) > 0) {
+            phase("loss", 0, proxies, 0, this::lose);
+        }
+        if (point.number("cutS", 8) > 0) {
+            phase("region", 0, first(1), 0, this::cut);
+        }
+        if (point.count("reload", 1) > 0) {
+            phase("reload", 0, proxies, 0, this::reload);
+        }
+        return measured;
+    }
+
+    /** All proxies with their configuration's list and module, calling nobody yet. */
+    private void create() throws Exception {
+        progress.step("creating " + proxies + " hollow proxies");
+        for (int i = 0; i < proxies; i++) {
+            ProxyConfig c = new ProxyConfig(folder.resolve("n" + i + ".json"), point, i, proxies, random.nextLong(),
+                old(list.whole().bytes()));
+            c.write(doors.get(region(i)).address());
+            configs.add(c);
+        }
+        EventLoop[] used = new EventLoop[LOOPS];
+        for (int i = 0; i < LOOPS; i++) {
+            used[i] = loops.next();
+            loopThreads.add(used[i].submit(() -> Thread.currentThread().getId()).get());
+        }
+        heapEmpty = heap();
+        for (int i = 0; i < proxies; i++) {
+            int number = i;
+            EventLoop loop = used[i % LOOPS];
+            Map<String, String> env = configs.get(i).variables("127.0.0.1:0", doors.get(region(i)).address());
+            hollows.add(loop.submit(() -> new HollowProxy(env, loop, (p, hash) -> told(number, hash))).get());
+        }
+        put("list.heapEach", (heap() - heapEmpty) / (double) proxies, "B");
+    }
+
+    /** The list that a proxy had last: of the version before, and with a node that has gone since. */
+    private static byte[] old(byte[] whole) {
+        return new String(whole, StandardCharsets.UTF_8).replace("\"version\":1,", "\"version\":0,")
+            .replace("\"id\":\"s-0\"", "\"id\":\"s-old\"").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void told(int proxy, long hash) {
+        NodeList.Version v = list.of(hash);
+        NodeList moved = second;
+        if (v == null && moved != null) {
+            v = moved.of(hash);
+        }
+        if (v == null) {
+            told.began(proxy, System.nanoTime());
+        } else {
+            told.told(proxy, v, System.nanoTime());
+        }
+    }
+
+    private int region(int proxy) {
+        return (int) ((long) proxy * regions / proxies);
+    }
+
+    /** The first proxy of a region. */
+    private int first(int region) {
+        return (int) (((long) region * proxies + regions - 1) / regions);
+    }
+
+    private List<NodeList.Entry> nodes(int count) {
+        List<NodeList.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            entries.add(node("s-" + i, i, 0));
+        }
+        return entries;
+    }
+
+    private static NodeList.Entry node(String id, int number, long startedMs) {
+        return new NodeList.Entry(id, "127.0.0.1:" + (11211 + number), ProxyConfig.zone(number), "m", number % 4,
+            "SERVING", startedMs);
+    }
+
+    // ---- the phases ----
+
+    /** The oldest node drains, goes, and another takes its place. */
+    private NodeList.Version roll() throws InterruptedException {
+        long every = (long) point.number("changeEveryMs", 250);
+        NodeList.Version v = list.latest();
+        for (int i = 0; i < point.count("replaced", 8); i++) {
+            NodeList.Entry old = list.entries().get(0);
+            v = service.publish(List.of(old.in("DRAINING")));
+            Thread.sleep(every);
+            v = service.publish(List.of(old.in("DELETED")));
+            Thread.sleep(every);
+            v = service.publish(List.of(fresh()));
+            Thread.sleep(every);
+        }
+        return v;
+    }
+
+    private NodeList.Entry fresh() {
+        return node("s-new-" + replacements++, replacements, System.currentTimeMillis());
+    }
+
+    private List<NodeList.Entry> replacement() {
+        return List.of(list.entries().get(0).in("DELETED"), fresh());
+    }
+
+    private NodeList.Version restartRegion() throws InterruptedException {
+        int count = first(2) - first(1);
+        long pauseNs = (long) (point.number("restartS", 3) * 1e9 / count);
+        hollows.subList(first(1), first(2)).forEach(p -> p.restartAtNextEnd(0));
+        long next = System.nanoTime();
+        for (int i = 0; i < count; i++) {
+            doors.get(1).endOneWatch();
+            next += pauseNs;
+            TimeUnit.NANOSECONDS.sleep(next - System.nanoTime());
+        }
+        return list.latest();
+    }
+
+    private NodeList.Version lose() throws InterruptedException {
+        boolean silent = point.count("lossSilent", 0) > 0;
+        service.become(silent ? StandInDiscovery.State.SILENT : StandInDiscovery.State.DOWN);
+        TimeUnit.MILLISECONDS.sleep((long) (point.number("lossS", 6) * 1000));
+        list.publish(replacement());
+        list.forgetChanges();
+        told.notBefore(0, proxies, System.nanoTime());
+        service.become(StandInDiscovery.State.UP);
+        return list.latest();
+    }
+
+    private NodeList.Version cut() throws InterruptedException, IOException {
+        doors.get(0).cut();
+        long ms = (long) (point.number("cutS", 8) * 1000);
+        TimeUnit.MILLISECONDS.sleep(ms / 2);
+        NodeList.Version v = service.publish(replacement());
+        TimeUnit.MILLISECONDS.sleep(ms - ms / 2);
+        told.notBefore(0, first(1), System.nanoTime());
+        doors.get(0).heal();
+        return v;
+    }
+
+    /** Another service with the same nodes and one more takes over; all files are replaced, then all told. */
+    private NodeList.Version reload() throws IOException {
+        NodeList next = new NodeList(1);
+        List<NodeList.Entry> entries = new ArrayList<>(list.entries());
+        entries.add(fresh());
+        next.publish(entries);
+        next.forgetChanges();
+        StandInDiscovery other = new StandInDiscovery(serviceLoops.next(), next, capacity());
+        List<StandInDiscovery.Door> to = new ArrayList<>();
+        for (int r = 0; r < regions; r++) {
+            to.add(other.door(0, (d, v) -> { }));
+        }
+        second = next;
+        for (int i = 0; i < proxies; i++) {
+            configs.get(i).write(to.get(region(i)).address());
+        }
+        doors.addAll(to);
+        told.notBefore(0, proxies, System.nanoTime());
+        hollows.forEach(HollowProxy::reload);
+        service.retire(RETIRED_AFTER_MS);
+        return next.latest();
+    }
+
+    /**
+     * Runs the events, then waits until the proxies first..end-1 were told the version these return, and the
+     * phase is so long at least.
+     */
+    private void phase(String name, int first, int end, double leastS, Callable<NodeList.Version> events)
+            throws Exception {
+        progress.step(name);
+        List<StandInDiscovery.Door> before = List.copyOf(doors);
+        List<StandInDiscovery.Traffic> traffic = before.stream().map(StandInDiscovery.Door::traffic).toList();
+        long cpu = cpuNs();
+        told.begin(first, end);
+        long start = System.nanoTime();
+        NodeList.Version v = events.call();
+        long waited = System.nanoTime();
+        while (told.count(v, first, end) < end - first && System.nanoTime() - waited < mostNs
+                || System.nanoTime() - start < leastS * 1e9) {
+            Thread.sleep(10);
+        }
+        long cpuSpent = cpuNs() - cpu;
+        double seconds = (System.nanoTime() - start) / 1e9;
+        StandInDiscovery.Traffic sum = new StandInDiscovery.Traffic(0, 0, 0, 0);
+        List<Long> calls = new ArrayList<>();
+        for (int i = 0; i < doors.size(); i++) {
+            StandInDiscovery.Traffic was = i < traffic.size() ? traffic.get(i)
+                : new StandInDiscovery.Traffic(0, 0, 0, 0);
+            sum = sum.plus(doors.get(i).traffic().since(was));
+            for (long at : doors.get(i).callTimes(was.calls())) {
+                calls.add(at);
+            }
+        }
+        put(name + ".seconds", seconds, "s");
+        put(name + ".calls", sum.calls(), "calls");
+        put(name + ".callsPerS", sum.calls() / seconds, "calls/s");
+        put(name + ".peakCallsPerS", peak(calls), "calls/s");
+        put(name + ".failedCalls", sum.failed(), "calls");
+        put(name + ".listLines", sum.lines(), "lines");
+        put(name + ".bytesEach", sum.bytes() / (double) proxies, "B");
+        put(name + ".bytesPerSEach", sum.bytes() / seconds / proxies, "B/s");
+        put(name + ".cpuEach", cpuSpent / 1e7 / seconds / proxies, "% of a core");
+        Histogram delays = told.delays();
+        if (!name.equals("rest")) {
+            put(name + ".toldP50", delays.getValueAtPercentile(50) / 1e3, "ms");
+            put(name + ".toldP99", delays.getValueAtPercentile(99) / 1e3, "ms");
+            put(name + ".toldMost", delays.getMaxValue() / 1e3, "ms");
+            put(name + ".untold", end - first - told.count(v, first, end), "proxies");
+        }
+    }
+
+    private void put(String name, double value, String unit) {
+        measured.put(name, new Measurement(value, unit));
+    }
+
+    /** The most arrivals within any one second. */
+    private static int peak(List<Long> times) {
+        times.sort(Comparator.naturalOrder());
+        int most = 0;
+        for (int from = 0, to = 0; to < times.size(); to++) {
+            while (times.get(to) - times.get(from) > 1_000_000_000L) {
+                from++;
+            }
+            most = Math.max(most, to - from + 1);
+        }
+        return most;
+    }
+
+    private long cpuNs() {
+        return loopThreads.stream().mapToLong(ManagementFactory.getThreadMXBean()::getThreadCpuTime).sum();
+    }
+
+    /** Bytes in use after collections; what the first one has finalized, the next one frees. */
+    private static long heap() throws InterruptedException {
+        for (int i = 0; i < GC_ROUNDS; i++) {
+            System.gc();
+            Thread.sleep(GC_PAUSE_MS);
+        }
+        Runtime r = Runtime.getRuntime();
+        return r.totalMemory() - r.freeMemory();
+    }
+
+    @Override
+    public void close() throws Exception {
+        loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).await();
+        serviceLoops.shutdownGracefully(0, 2, TimeUnit.SECONDS).await();
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path f : files.toList()) {
+                Files.delete(f);
+            }
+        }
+        Files.delete(folder);
+    }
+}
--- /dev/null
+++ b/src/scale/java/holdproxy/scale/real/ProxyConfig.java
@@ -0,0 +1,81 @@
+package holdproxy.scale.real;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import holdproxy.scale.Scenario;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The configuration file of a proxy, as the deployment writes it. */
+final class ProxyConfig {
+    static final int ZONES = 9;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Path file;
+    private final Map<String, Object> content = new LinkedHashMap<>();
+
+    /** {@code known}: the list that the proxy last had, in discovery's form. */
+    ProxyConfig(Path file, Scenario.Point point, int index, int proxies, long seed, byte[] known)
+            throws IOException {
+        this.file = file;
+        content.put("name", "n" + index);
+        content.put("seed", String.format("%016x", seed));
+        content.put("limits", Map.of("cores", 1.0, "memory_mb", 192, "sockets", 1024));
+        content.put("known", JSON.readTree(new String(known, StandardCharsets.UTF_8)));
+        content.put("settings", settings(point, index, proxies));
+    }
+
+    static String zone(int number) {
+        return "z" + number % ZONES;
+    }
+
+    private static Map<String, Object> settings(Scenario.Point point, int index, int proxies) {
+        List<Object> tenants = new ArrayList<>();
+        int tenantCount = point.count("tenants", 4);
+        for (int i = 0; i < tenantCount; i++) {
+            tenants.add(Map.of("name", "t" + i, "quotaPerS", 480_000.0 / tenantCount, "share", 1.0 / tenantCount));
+        }
+        List<String> zones = new ArrayList<>();
+        for (int i = 0; i < ZONES; i++) {
+            zones.add(zone(i));
+        }
+        Map<String, Object> s = new LinkedHashMap<>();
+        s.put("index", index);
+        s.put("balancers", proxies);
+        s.put("az", index % ZONES);
+        s.put("domainType", "cache");
+        s.put("familyInfo", Map.of("mode", "through", "originKind", -1));
+        s.put("caps", Map.of("dialTimeoutMs", 400.0, "idleCloseMs", 10_000.0, "maxAttempts", 4, "maxRetryAfterMs",
+            2000.0, "mayCancel", true, "multiplex", 1, "openCap", 20_000, "retryAfter", true));
+        s.put("grades", List.of(Map.of("name", "read", "effect", "pure", "group", "all", "targetMs", 300.0,
+            "deadlineMs", 1500.0, "lateWorth", 0.5, "repeatWindowMs", 5000.0, "value", 1.0)));
+        s.put("kinds", List.of("m"));
+        s.put("localities", zones);
+        s.put("registryMode", point.number("asked", 1) > 0 ? "subscribe" : "automatic");
+        s.put("rules", Map.of("askWithinMs", point.number("askWithinMs", 10_000), "coldFrom", 0.33, "coldMs",
+            8700.0, "drainGraceMs", point.number("drainGraceMs", 500), "graceToAnswerMs", 20.0));
+        s.put("tenants", tenants);
+        s.put("tickMs", 5.0);
+        s.put("weights", "nominal");
+        return s;
+    }
+
+    /** Written whole or not at all: it is replaced while the proxy may read it. */
+    void write(String discovery) throws IOException {
+        content.put("discovery", discovery);
+        Path part = file.resolveSibling(file.getFileName() + ".part");
+        Files.write(part, JSON.writeValueAsBytes(content));
+        Files.move(part, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    Map<String, String> variables(String listen, String discovery) {
+        return Map.of("LB_NAME", (String) content.get("name"), "LB_LISTEN", listen, "LB_DISCOVERY", discovery,
+            "LB_CONFIG", file.toString());
+    }
+}
--- /dev/null
+++ b/src/scale/java/holdproxy/scale/real/StandInDiscovery.java
@@ -0,0 +1,455 @@
+package holdproxy.scale.real;
+
+import holdproxy.scale.ScaleException;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/**
+ * Discovery as the protocol has it, on loopback: whole lists, and watches with an empty line every 2 s. Calls
+ * and changes are worked off in turn, so many list lines a second; a call that would wait too long, or comes
+ * while too many wait, is answered 503. All of it runs on one event loop of its own.
+ */
+final class StandInDiscovery implements AutoCloseable {
+    private static final String PATH = "/registry/instances";
+    private static final long EMPTY_LINE_MS = 2000;
+    private static final int BACKLOG = 256;
+    private static final int FILL_MS = 200;
+
+    /** DOWN: connections are reset and refused. FAILING: calls get 503. RESETTING: calls get a reset. */
+    enum State { UP, DOWN, FAILING, RESETTING, SILENT }
+
+    /** List lines a second, how long a call may wait for its turn, and how many may wait; 0: no limit. */
+    record Capacity(double linesPerS, long waitMs, int calls) {
+    }
+
+    /** What came and went at a door. Bytes are those of the connections' payload, without TCP/IP headers. */
+    record Traffic(long calls, long bytes, long lines, long failed) {
+        Traffic since(Traffic before) {
+            return new Traffic(calls - before.calls, bytes - before.bytes, lines - before.lines,
+                failed - before.failed);
+        }
+
+        Traffic plus(Traffic other) {
+            return new Traffic(calls + other.calls, bytes + other.bytes, lines + other.lines,
+                failed + other.failed);
+        }
+    }
+
+    private final EventLoop loop;
+    private final NodeList list;
+    private final Capacity capacity;
+    private final List<Door> doors = new ArrayList<>();
+    private State state = State.UP;
+    private long turnFreeNs = System.nanoTime();
+    private int waiting;
+
+    StandInDiscovery(EventLoop loop, NodeList list, Capacity capacity) {
+        this.loop = loop;
+        this.list = list;
+        this.capacity = capacity;
+    }
+
+    /** A further address of the service. {@code written} hears when a version has gone out to a connection. */
+    Door door(int port, BiConsumer<Door, NodeList.Version> written) {
+        Door d = new Door(written);
+        d.listen(new InetSocketAddress("127.0.0.1", port));
+        on(() -> doors.add(d));
+        return d;
+    }
+
+    NodeList list() {
+        return list;
+    }
+
+    /** Publishes a change and has every open watch told in turn. */
+    NodeList.Version publish(List<NodeList.Entry> changed) {
+        return on(() -> {
+            NodeList.Version v = list.publish(changed);
+            doors.forEach(d -> List.copyOf(d.callers).forEach(Caller::tell));
+            return v;
+        });
+    }
+
+    void become(State next) {
+        on(() -> {
+            State before = state;
+            state = next;
+            for (Door d : doors) {
+                if (next == State.DOWN) {
+                    d.server.close();
+                    d.reset();
+                } else if (before == State.SILENT) {
+                    d.reset(); // the machine is back, its old connections are not
+                }
+            }
+            turnFreeNs = System.nanoTime();
+            return null;
+        });
+        if (next != State.DOWN) {
+            doors.stream().filter(d -> !d.server.isOpen()).forEach(d -> d.listen(d.address));
+        }
+    }
+
+    /** It is replaced: no new connections, and those open end after so long. */
+    void retire(long afterMs) {
+        on(() -> {
+            doors.forEach(d -> d.server.close());
+            loop.schedule(() -> doors.forEach(Door::end), afterMs, TimeUnit.MILLISECONDS);
+            return null;
+        });
+    }
+
+    @Override
+    public void close() {
+        on(() -> {
+            doors.forEach(d -> {
+                d.server.close();
+                d.reset();
+            });
+            return null;
+        });
+    }
+
+    private <T> T on(Callable<T> what) {
+        try {
+            return loop.submit(what).get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause());
+        }
+    }
+
+    /** When so many lines have been worked off after all before; in nanoseconds from now. */
+    private long turn(int lines) {
+        long now = System.nanoTime();
+        if (capacity.linesPerS() <= 0) {
+            return 0;
+        }
+        turnFreeNs = Math.max(now, turnFreeNs) + (long) (lines * 1e9 / capacity.linesPerS());
+        return turnFreeNs - now;
+    }
+
+    private boolean tooLong(int lines) {
+        double ahead = Math.max(0, turnFreeNs - System.nanoTime()) / 1e6;
+        return capacity.waitMs() > 0 && capacity.linesPerS() > 0
+            && ahead + lines * 1e3 / capacity.linesPerS() > capacity.waitMs();
+    }
+
+    /** One address of the service: what its callers cost, and the network between them and it. */
+    final class Door {
+        private final BiConsumer<Door, NodeList.Version> written;
+        private final Set<Caller> callers = new HashSet<>();
+        private final List<Socket> fillers = new ArrayList<>();
+        private InetSocketAddress address;
+        private volatile Channel server;
+        private boolean cut;
+        private long bytes;
+        private long lines;
+        private long failed;
+        private long[] callTimes = new long[64];
+        private int calls;
+
+        Door(BiConsumer<Door, NodeList.Version> written) {
+            this.written = written;
+        }
+
+        String address() {
+            return address.getAddress().getHostAddress() + ":" + address.getPort();
+        }
+
+        private void listen(InetSocketAddress at) {
+            ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new Meter(Door.this), new HttpServerCodec(), new Caller(Door.this));
+                    }
+                })
+                .bind(at).awaitUninterruptibly();
+            if (!bound.isSuccess()) {
+                throw new ScaleException("cannot listen on " + at.getAddress().getHostAddress() + ":"
+                    + at.getPort() + ": " + bound.cause().getMessage());
+            }
+            server = bound.channel();
+            address = (InetSocketAddress) server.localAddress();
+        }
+
+        Traffic traffic() {
+            return on(() -> new Traffic(calls, bytes, lines, failed));
+        }
+
+        /** Arrivals of calls from the {@code first} on, by {@link System#nanoTime()}. */
+        long[] callTimes(long first) {
+            return on(() -> Arrays.copyOfRange(callTimes, (int) first, calls));
+        }
+
+        int watches() {
+            return on(() -> (int) callers.stream().filter(c -> c.watch).count());
+        }
+
+        /** Ends the oldest watch here, as its proxy's end would. */
+        void endOneWatch() {
+            on(() -> {
+                callers.stream().filter(c -> c.watch && !c.ended)
+                    .min((a, b) -> Long.compare(a.sinceNs, b.sinceNs)).ifPresent(Caller::end);
+                return null;
+            });
+        }
+
+        /** Between these callers and the service nothing passes: connections stay silent, none come up. */
+        void cut() {
+            on(() -> {
+                cut = true;
+                server.config().setAutoRead(false);
+                callers.forEach(c -> c.context.channel().config().setAutoRead(false));
+                return null;
+            });
+            // connections that are never accepted, until no further one comes up
+            for (int i = 0; i < 4 * BACKLOG; i++) {
+                Socket s = new Socket();
+                fillers.add(s);
+                try {
+                    s.connect(address, FILL_MS);
+                } catch (IOException e) {
+                    return;
+                }
+            }
+            throw new IllegalStateException("the queue of connections does not fill");
+        }
+
+        /** The network is whole again: old connections are reset. */
+        void heal() throws IOException {
+            for (Socket s : fillers) {
+                s.close();
+            }
+            fillers.clear();
+            on(() -> {
+                cut = false;
+                reset();
+                server.config().setAutoRead(true);
+                return null;
+            });
+        }
+
+        private void reset() {
+            for (Caller c : List.copyOf(callers)) {
+                c.context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                c.end();
+            }
+        }
+
+        private void end() {
+            List.copyOf(callers).forEach(Caller::end);
+        }
+    }
+
+    /** Counts the payload of a connection in both directions. */
+    private static final class Meter extends ChannelDuplexHandler {
+        private final Door door;
+
+        Meter(Door door) {
+            this.door = door;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            door.bytes += ((ByteBuf) message).readableBytes();
+            ctx.fireChannelRead(message);
+        }
+
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise done) {
+            door.bytes += ((ByteBuf) message).readableBytes();
+            ctx.write(message, done);
+        }
+    }
+
+    /** One connection of a proxy. */
+    private final class Caller extends SimpleChannelInboundHandler<HttpObject> {
+        private final Door door;
+        private final long sinceNs = System.nanoTime();
+        private ChannelHandlerContext context;
+        private Future<?> emptyLines;
+        private boolean watch;
+        private boolean inTurn;
+        private boolean ended;
+        private long version;
+
+        Caller(Door door) {
+            this.door = door;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            context = ctx;
+            door.callers.add(this);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            end();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            end();
+        }
+
+        void end() {
+            ended = true;
+            door.callers.remove(this);
+            if (emptyLines != null) {
+                emptyLines.cancel(false);
+            }
+            context.close();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (!(message instanceof HttpRequest call) || door.cut || ended) {
+                return;
+            }
+            if (door.calls == door.callTimes.length) {
+                door.callTimes = Arrays.copyOf(door.callTimes, 2 * door.calls);
+            }
+            door.callTimes[door.calls++] = System.nanoTime();
+            QueryStringDecoder query = new QueryStringDecoder(call.uri());
+            if (!query.path().equals(PATH)) {
+                answer(HttpResponseStatus.NOT_FOUND, new byte[0]);
+                return;
+            }
+            boolean asksWatch = query.parameters().containsKey("stream");
+            long index = asksWatch ? Long.parseLong(query.parameters().get("index").get(0)) : 0;
+            switch (state) {
+                case SILENT -> { }
+                case FAILING -> fail();
+                case RESETTING, DOWN -> {
+                    ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                    end();
+                }
+                case UP -> take(asksWatch, index);
+            }
+        }
+
+        private void take(boolean asksWatch, long index) {
+            int lines = asksWatch ? list.since(index).lines() : list.whole().lines();
+            if (capacity.calls() > 0 && waiting >= capacity.calls()) {
+                fail();
+            } else if (tooLong(lines)) {
+                loop.schedule(this::fail, capacity.waitMs(), TimeUnit.MILLISECONDS);
+            } else {
+                waiting++;
+                loop.schedule(() -> {
+                    waiting--;
+                    if (asksWatch) {
+                        beginWatch(index);
+                    } else if (passes()) {
+                        NodeList.Text whole = list.whole();
+                        door.lines += whole.lines();
+                        answer(HttpResponseStatus.OK, whole.bytes());
+                    }
+                }, turn(lines), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private boolean passes() {
+            return !ended && !door.cut && state == State.UP;
+        }
+
+        private void fail() {
+            door.failed++;
+            if (passes() || state == State.FAILING) {
+                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
+            }
+        }
+
+        private void answer(HttpResponseStatus status, byte[] body) {
+            DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.wrappedBuffer(body));
+            r.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            context.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        private void beginWatch(long index) {
+            if (!passes()) {
+                return;
+            }
+            DefaultHttpResponse r = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            r.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            context.write(r);
+            watch = true;
+            version = index;
+            send(list.since(index));
+            emptyLines = loop.scheduleAtFixedRate(() -> {
+                if (passes()) {
+                    context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[] {'\n'})));
+                }
+            }, EMPTY_LINE_MS, EMPTY_LINE_MS, TimeUnit.MILLISECONDS);
+        }
+
+        /** In its turn it is sent what has changed by then. */
+        void tell() {
+            if (watch && !inTurn && passes()) {
+                inTurn = true;
+                loop.schedule(() -> {
+                    inTurn = false;
+                    if (passes() && version != list.latest().number()) {
+                        send(list.since(version));
+                    }
+                }, turn(list.since(version).lines()), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void send(NodeList.Text text) {
+            door.lines += text.lines();
+            NodeList.Version v = list.latest();
+            version = v.number();
+            context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(text.bytes())))
+                .addListener(f -> {
+                    if (f.isSuccess()) {
+                        door.written.accept(door, v);
+                    }
+                });
+        }
+    }
+}
--- /dev/null
+++ b/src/scale/test/java/holdproxy/scale/ScaleTest.java
@@ -0,0 +1,105 @@
+package holdproxy.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The scale run as it is started: what it says where it cannot run, what it leaves, and its short form. */
+@Timeout(120)
+class ScaleTest {
+    private static final String CONTROL = "{\"name\":\"x\",\"sweeps\":[{\"experiment\":\"control\",\"axes\":"
+        + "{\"proxies\":[2],\"nodes\":[3]},\"parameters\":{%s}}]}";
+
+    @TempDir
+    Path folder;
+
+    /** The program in a process of its own, with this folder for the repository's. */
+    private Process start(String... args) throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Djava.awt.headless=true",
+            "-Dholdproxy.root=" + folder, "-cp", System.getProperty("java.class.path"), "holdproxy.scale.Scale"));
+        command.addAll(List.of(args));
+        return new ProcessBuilder(command).redirectOutput(folder.resolve("out").toFile())
+            .redirectError(folder.resolve("err").toFile()).start();
+    }
+
+    private Path scenario(String text) throws IOException {
+        return Files.writeString(folder.resolve("scenario.json"), text);
+    }
+
+    /** Exit code 2, and one line on standard error (the log's lines begin with the time). */
+    private void cannot(String why, String... args) throws Exception {
+        Process p = start(args);
+        assertTrue(p.waitFor(60, TimeUnit.SECONDS));
+        List<String> said = Files.readAllLines(folder.resolve("err")).stream()
+            .filter(l -> !l.matches("\\d\\d:\\d\\d:\\d\\d INFO .*")).toList();
+        assertEquals(1, said.size(), said.toString());
+        assertTrue(said.get(0).startsWith("scale: ") && said.get(0).contains(why), said.get(0));
+        assertEquals(2, p.exitValue());
+    }
+
+    @Test
+    void aBadScenarioIsToldInOneLine() throws Exception {
+        cannot("cannot be read", folder.resolve("nowhere.json").toString());
+        cannot("not as it should be", scenario("{\"name\":\"x\",\n\"sweeps\":[").toString());
+        cannot("Unrecognized field \"sweep\"", scenario("{\"name\":\"x\",\"sweep\":[]}").toString());
+        cannot("no experiment is named 'nope'",
+            scenario("{\"name\":\"x\",\"sweeps\":[{\"experiment\":\"nope\"}]}").toString());
+        cannot("'proxy' is no input of control", scenario(String.format(CONTROL, "\"proxy\":1")).toString());
+        cannot("'x' is not a long", "--seed", "x");
+    }
+
+    @Test
+    void aBusyPortIsToldInOneLine() throws Exception {
+        try (ServerSocket busy = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            int port = busy.getLocalPort();
+            cannot("cannot listen on 127.0.0.1:" + port,
+                scenario(String.format(CONTROL, "\"port\":" + port)).toString());
+        }
+    }
+
+    @Test
+    void aFitFindsTheSlopeOfALine() {
+        List<double[]> points = Stream.of(10, 30, 100, 300, 730)
+            .map(n -> new double[] {n, 3.5 * n - 20 + (n % 20 == 0 ? 1 : -1)}).toList();
+        Fit f = Fit.of("e", new Scenario.Line("proxies", "y", null), "s", Map.of(), points);
+        assertEquals(3.5, f.slope(), 0.01);
+        assertEquals(-20, f.intercept(), 2);
+        assertEquals(1, f.r2(), 1e-4);
+        assertEquals(2535, f.at(730), 2);
+    }
+
+    /** The sweep of small sizes: everybody was told after each phase, with one call each after a loss. */
+    @Test
+    void theShortSweepMeasuresFitsAndPlots() throws Exception {
+        assertEquals(0, Scale.run("src/scale/scenarios/short.json", "--out", folder.toString()));
+        Result result = Result.load(folder.resolve("result.json"));
+        List<Result.Measured> control = result.points().stream().filter(m -> m.experiment().equals("control"))
+            .toList();
+        assertEquals(List.of(4.0, 16.0), control.stream().map(m -> m.sizes().get("proxies")).toList());
+        for (Result.Measured m : control) {
+            m.measured().forEach((name, value) -> {
+                assertTrue(!name.endsWith(".untold") || value.value() == 0, name + " " + value);
+            });
+            assertTrue(m.measured().get("loss.calls").value() >= m.sizes().get("proxies"));
+            assertEquals(10 * m.sizes().get("proxies"), m.measured().get("loss.listLines").value());
+        }
+        Fit lines = result.fits().stream().filter(f -> f.y().equals("loss.listLines")).findFirst().orElseThrow();
+        assertEquals(10, lines.slope(), 1e-6);
+        assertTrue(Files.readString(folder.resolve("table.md")).contains("| control | loss.listLines (lines)"));
+        assertTrue(Files.size(folder.resolve("control-loss_listLines-proxies.png")) > 1000);
+    }
+}
