The scale run: real proxies beside the hollow ones, the cost of a list, nothing left after a signal

Up to a few proxies by the deploy file's run line before the same stand-in discovery, with a stand-in cache node and a bounded client load: calls, bytes, processor time from /proc, resident memory. Signals: with the shutdown hook taken out, noProxyIsLeftAfterASignal fails; with it no process or file is left after INT and TERM.

--- a/src/scale/java/holdproxy/scale/real/ControlExperiment.java
+++ b/src/scale/java/holdproxy/scale/real/ControlExperiment.java
@@ -26,6 +26,7 @@
         Map<String, String> in = new LinkedHashMap<>();
         in.put("proxies", "hollow proxies");
         in.put("nodes", "cache nodes");
+        in.put("real", "proxies beside them in processes of their own, by the deploy file's run line (0)");
         in.put("regions", "regions among which the proxies are dealt out (4)");
         in.put("asked", "1: proxies ask for changes, 0: they come unprompted (1)");
         in.put("askWithinMs", "the setting rules.askWithinMs (10000)");
@@ -43,6 +44,9 @@
         in.put("lossSilent", "1: it is silent then, 0: connections are reset and refused (0)");
         in.put("cutS", "seconds for which the first region is cut off from discovery; 0: not (8)");
         in.put("reload", "1: all get a configuration that names another discovery (1)");
+        in.put("loadPerS", "requests a second to each real proxy, at the end (200)");
+        in.put("loadS", "seconds of that load (5)");
+        in.put("serviceUs", "time of a stand-in cache node for a request (500)");
         in.put("mostS", "most seconds to wait until all are told (25)");
         return in;
     }
--- a/src/scale/java/holdproxy/scale/real/ControlRun.java
+++ b/src/scale/java/holdproxy/scale/real/ControlRun.java
@@ -11,8 +11,6 @@
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -20,7 +18,6 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -29,6 +26,8 @@
 final class ControlRun implements AutoCloseable {
     private static final int LOOPS = 2;
     private static final long RETIRED_AFTER_MS = 1500;
+    /** Of nodes that nobody calls. */
+    private static final int FIRST_PORT = 11211;
     private static final int GC_ROUNDS = 3;
     private static final long GC_PAUSE_MS = 50;
 
@@ -37,18 +36,25 @@
     private final int proxies;
     private final int regions;
     private final long mostNs;
-    private final Path folder = Files.createTempDirectory("scale");
+    private final Workplace place = new Workplace();
     private final MultiThreadIoEventLoopGroup loops = loops(LOOPS, "hollow");
     private final MultiThreadIoEventLoopGroup serviceLoops = loops(2, "discovery");
+    private final MultiThreadIoEventLoopGroup clientLoops = loops(1, "clients");
     private final NodeList list = new NodeList(1);
     private final List<ProxyConfig> configs = new ArrayList<>();
     private final List<HollowProxy> hollows = new ArrayList<>();
     private final List<StandInDiscovery.Door> doors = new ArrayList<>();
     private final List<Long> loopThreads = new ArrayList<>();
     private final Told told;
+    private final List<ProxyConfig> realConfigs = new ArrayList<>();
+    private final List<RealProxy> reals = new ArrayList<>();
+    private final List<StandInDiscovery.Door> realDoors = new ArrayList<>();
+    private final Told realTold;
+    private final int realCount;
     private final UniformRandomProvider random;
     private final Map<String, Measurement> measured = new LinkedHashMap<>();
     private final StandInDiscovery service;
+    private StandInNode node;
     private long heapEmpty;
     private int replacements;
     private NodeList second;
@@ -60,8 +66,14 @@
         regions = Math.max(1, Math.min(proxies, point.count("regions", 4)));
         mostNs = (long) (point.number("mostS", 25) * 1e9);
         told = new Told(proxies);
+        realCount = point.count("real", 0);
+        realTold = new Told(realCount);
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         service = new StandInDiscovery(serviceLoops.next(), list, capacity());
+        if (realCount > 0) {
+            Workplace.runLine(); // told before anything is begun
+            node = new StandInNode(serviceLoops.next(), (long) point.number("serviceUs", 500));
+        }
     }
 
     private static MultiThreadIoEventLoopGroup loops(int count, String name) {
@@ -80,16 +92,19 @@
             int port = point.count("port", 0);
             doors.add(service.door(port == 0 ? 0 : port + r, (d, v) -> { }));
         }
+        for (int i = 0; i < realCount; i++) {
+            realDoors.add(realDoor(service, i));
+        }
         list.publish(nodes(nodes));
         list.forgetChanges();
         create();
-        phase("start", 0, proxies, 0, () -> {
-            told.notBefore(0, proxies, System.nanoTime());
-            hollows.forEach(HollowProxy::start);
-            return list.latest();
-        });
+        phase("start", 0, proxies, 0, this::start);
+        for (RealProxy p : reals) {
+            p.awaitReady();
+        }
         phase("rest", 0, proxies, point.number("restS", 6), () -> list.latest());
         put("rest.heapEach", (heap() - heapEmpty) / (double) proxies, "B");
+        resident("rest");
         if (point.count("replaced", 8) > 0) {
             phase("rolling", 0, proxies, 0, this::roll);
         }
@@ -105,17 +120,48 @@
         if (point.count("reload", 1) > 0) {
             phase("reload", 0, proxies, 0, this::reload);
         }
+        if (realCount > 0 && point.number("loadPerS", 200) > 0) {
+            phase("load", 0, proxies, 0, this::load);
+            resident("load");
+        }
         return measured;
     }
 
+    private StandInDiscovery.Door realDoor(StandInDiscovery at, int number) {
+        return at.door(0, (d, v) -> realTold.told(number, v, System.nanoTime()));
+    }
+
+    private NodeList.Version start() throws IOException {
+        told.notBefore(0, proxies, System.nanoTime());
+        realTold.notBefore(0, realCount, System.nanoTime());
+        for (int i = 0; i < realCount; i++) {
+            byte[] address = {127, (byte) random.nextInt(1, 250), (byte) random.nextInt(256),
+                (byte) random.nextInt(2, 250)};
+            reals.add(new RealProxy(place, realConfigs.get(i), realDoors.get(i).address(), i, address));
+        }
+        hollows.forEach(HollowProxy::start);
+        return list.latest();
+    }
+
+    private void resident(String phase) throws IOException {
+        if (realCount > 0) {
+            long sum = 0;
+            for (RealProxy p : reals) {
+                sum += p.residentBytes();
+            }
+            put("real." + phase + ".residentEach", sum / 1048576.0 / realCount, "MiB");
+        }
+    }
+
     /** All proxies with their configuration's list and module, calling nobody yet. */
     private void create() throws Exception {
         progress.step("creating " + proxies + " hollow proxies");
-        for (int i = 0; i < proxies; i++) {
-            ProxyConfig c = new ProxyConfig(folder.resolve("n" + i + ".json"), point, i, proxies, random.nextLong(),
-                old(list.whole().bytes()));
-            c.write(doors.get(region(i)).address());
-            configs.add(c);
+        for (int i = 0; i < proxies + realCount; i++) {
+            ProxyConfig c = new ProxyConfig(place.folder().resolve("n" + i + ".json"), point, i,
+                proxies + realCount, random.nextLong(), old(list.whole().bytes()));
+            boolean hollow = i < proxies;
+            c.write(hollow ? doors.get(region(i)).address() : realDoors.get(i - proxies).address());
+            (hollow ? configs : realConfigs).add(c);
         }
         EventLoop[] used = new EventLoop[LOOPS];
         for (int i = 0; i < LOOPS; i++) {
@@ -168,9 +214,9 @@
         return entries;
     }
 
-    private static NodeList.Entry node(String id, int number, long startedMs) {
-        return new NodeList.Entry(id, "127.0.0.1:" + (11211 + number), ProxyConfig.zone(number), "m", number % 4,
-            "SERVING", startedMs);
+    private NodeList.Entry node(String id, int number, long startedMs) {
+        String address = node != null ? node.address() : "127.0.0.1:" + (FIRST_PORT + number);
+        return new NodeList.Entry(id, address, ProxyConfig.zone(number), "m", number % 4, "SERVING", startedMs);
     }
 
     // ---- the phases ----
@@ -219,23 +265,29 @@
         list.publish(replacement());
         list.forgetChanges();
         told.notBefore(0, proxies, System.nanoTime());
+        realTold.notBefore(0, realCount, System.nanoTime());
         service.become(StandInDiscovery.State.UP);
         return list.latest();
     }
 
     private NodeList.Version cut() throws InterruptedException, IOException {
         doors.get(0).cut();
+        realDoors.forEach(StandInDiscovery.Door::cut);
         long ms = (long) (point.number("cutS", 8) * 1000);
         TimeUnit.MILLISECONDS.sleep(ms / 2);
         NodeList.Version v = service.publish(replacement());
         TimeUnit.MILLISECONDS.sleep(ms - ms / 2);
         told.notBefore(0, first(1), System.nanoTime());
+        realTold.notBefore(0, realCount, System.nanoTime());
         doors.get(0).heal();
+        for (StandInDiscovery.Door d : realDoors) {
+            d.heal();
+        }
         return v;
     }
 
     /** Another service with the same nodes and one more takes over; all files are replaced, then all told. */
-    private NodeList.Version reload() throws IOException {
+    private NodeList.Version reload() throws IOException, InterruptedException {
         NodeList next = new NodeList(1);
         List<NodeList.Entry> entries = new ArrayList<>(list.entries());
         entries.add(fresh());
@@ -251,58 +303,114 @@
             configs.get(i).write(to.get(region(i)).address());
         }
         doors.addAll(to);
+        for (int i = 0; i < realCount; i++) {
+            StandInDiscovery.Door d = realDoor(other, i);
+            realConfigs.get(i).write(d.address());
+            realDoors.add(d);
+        }
         told.notBefore(0, proxies, System.nanoTime());
+        realTold.notBefore(0, realCount, System.nanoTime());
         hollows.forEach(HollowProxy::reload);
+        for (RealProxy p : reals) {
+            p.hangUp(place);
+        }
         service.retire(RETIRED_AFTER_MS);
         return next.latest();
     }
 
+    /** Clients read through the real proxies; the hollow ones rest. */
+    private NodeList.Version load() throws InterruptedException {
+        double perS = point.number("loadPerS", 200);
+        int tenants = point.count("tenants", 4);
+        long connections = node.connections();
+        List<ClientLoad> loads = new ArrayList<>();
+        for (RealProxy p : reals) {
+            loads.add(new ClientLoad(clientLoops.next(), p.address(), perS, tenants, random));
+        }
+        TimeUnit.MILLISECONDS.sleep((long) (point.number("loadS", 5) * 1000));
+        loads.forEach(ClientLoad::end);
+        Histogram all = new Histogram(3);
+        loads.forEach(l -> all.add(l.latencies()));
+        put("real.load.requests", loads.stream().mapToLong(ClientLoad::sent).sum(), "requests");
+        put("real.load.failed", loads.stream().mapToLong(ClientLoad::failed).sum(), "requests");
+        put("real.load.latencyP50", all.getValueAtPercentile(50) / 1e3, "ms");
+        put("real.load.latencyP99", all.getValueAtPercentile(99) / 1e3, "ms");
+        put("real.load.connections", node.connections() - connections, "connections to nodes");
+        return (second != null ? second : list).latest();
+    }
+
+    /** What a phase began with, at one kind of proxies. */
+    private record Before(List<StandInDiscovery.Traffic> traffic, double cpuS) {
+    }
+
+    private Before before(List<StandInDiscovery.Door> at, double cpuS) {
+        return new Before(at.stream().map(StandInDiscovery.Door::traffic).toList(), cpuS);
+    }
+
     /**
-     * Runs the events, then waits until the proxies first..end-1 were told the version these return, and the
-     * phase is so long at least.
+     * Runs the events, then waits until the proxies first..end-1 and the real ones were told the version these
+     * return, and the phase is so long at least.
      */
     private void phase(String name, int first, int end, double leastS, Callable<NodeList.Version> events)
             throws Exception {
         progress.step(name);
-        List<StandInDiscovery.Door> before = List.copyOf(doors);
-        List<StandInDiscovery.Traffic> traffic = before.stream().map(StandInDiscovery.Door::traffic).toList();
-        long cpu = cpuNs();
+        Before hollow = before(doors, cpuS());
+        Before real = before(realDoors, realCpuS());
         told.begin(first, end);
+        realTold.begin(0, realCount);
         long start = System.nanoTime();
         NodeList.Version v = events.call();
         long waited = System.nanoTime();
-        while (told.count(v, first, end) < end - first && System.nanoTime() - waited < mostNs
+        while (untold(v, first, end) > 0 && System.nanoTime() - waited < mostNs
                 || System.nanoTime() - start < leastS * 1e9) {
             Thread.sleep(10);
         }
-        long cpuSpent = cpuNs() - cpu;
+        double cpu = cpuS();
+        double realCpu = realCpuS();
         double seconds = (System.nanoTime() - start) / 1e9;
+        put(name + ".seconds", seconds, "s");
+        cost(name, doors, hollow, seconds, proxies, cpu - hollow.cpuS);
+        delays(name, told, end - first - told.count(v, first, end));
+        if (realCount > 0) {
+            cost("real." + name, realDoors, real, seconds, realCount, realCpu - real.cpuS);
+            delays("real." + name, realTold, realCount - realTold.count(v, 0, realCount));
+        }
+    }
+
+    private int untold(NodeList.Version v, int first, int end) {
+        return end - first - told.count(v, first, end) + realCount - realTold.count(v, 0, realCount);
+    }
+
+    private void cost(String name, List<StandInDiscovery.Door> at, Before before, double seconds, int count,
+            double cpuS) {
         StandInDiscovery.Traffic sum = new StandInDiscovery.Traffic(0, 0, 0, 0);
         List<Long> calls = new ArrayList<>();
-        for (int i = 0; i < doors.size(); i++) {
-            StandInDiscovery.Traffic was = i < traffic.size() ? traffic.get(i)
+        for (int i = 0; i < at.size(); i++) {
+            StandInDiscovery.Traffic was = i < before.traffic.size() ? before.traffic.get(i)
                 : new StandInDiscovery.Traffic(0, 0, 0, 0);
-            sum = sum.plus(doors.get(i).traffic().since(was));
-            for (long at : doors.get(i).callTimes(was.calls())) {
-                calls.add(at);
+            sum = sum.plus(at.get(i).traffic().since(was));
+            for (long t : at.get(i).callTimes(was.calls())) {
+                calls.add(t);
             }
         }
-        put(name + ".seconds", seconds, "s");
         put(name + ".calls", sum.calls(), "calls");
         put(name + ".callsPerS", sum.calls() / seconds, "calls/s");
         put(name + ".peakCallsPerS", peak(calls), "calls/s");
         put(name + ".failedCalls", sum.failed(), "calls");
         put(name + ".listLines", sum.lines(), "lines");
-        put(name + ".bytesEach", sum.bytes() / (double) proxies, "B");
-        put(name + ".bytesPerSEach", sum.bytes() / seconds / proxies, "B/s");
-        put(name + ".cpuEach", cpuSpent / 1e7 / seconds / proxies, "% of a core");
-        Histogram delays = told.delays();
-        if (!name.equals("rest")) {
-            put(name + ".toldP50", delays.getValueAtPercentile(50) / 1e3, "ms");
-            put(name + ".toldP99", delays.getValueAtPercentile(99) / 1e3, "ms");
-            put(name + ".toldMost", delays.getMaxValue() / 1e3, "ms");
-            put(name + ".untold", end - first - told.count(v, first, end), "proxies");
+        put(name + ".bytesEach", sum.bytes() / (double) count, "B");
+        put(name + ".bytesPerSEach", sum.bytes() / seconds / count, "B/s");
+        put(name + ".cpuEach", cpuS * 100 / seconds / count, "% of a core");
+    }
+
+    private void delays(String name, Told of, int untold) {
+        Histogram d = of.delays();
+        if (d.getTotalCount() > 0) {
+            put(name + ".toldP50", d.getValueAtPercentile(50) / 1e3, "ms");
+            put(name + ".toldP99", d.getValueAtPercentile(99) / 1e3, "ms");
+            put(name + ".toldMost", d.getMaxValue() / 1e3, "ms");
         }
+        put(name + ".untold", untold, "proxies");
     }
 
     private void put(String name, double value, String unit) {
@@ -322,8 +430,16 @@
         return most;
     }
 
-    private long cpuNs() {
-        return loopThreads.stream().mapToLong(ManagementFactory.getThreadMXBean()::getThreadCpuTime).sum();
+    private double cpuS() {
+        return loopThreads.stream().mapToLong(ManagementFactory.getThreadMXBean()::getThreadCpuTime).sum() / 1e9;
+    }
+
+    private double realCpuS() throws IOException {
+        double sum = 0;
+        for (RealProxy p : reals) {
+            sum += p.cpuS();
+        }
+        return sum;
     }
 
     /** Bytes in use after collections; what the first one has finalized, the next one frees. */
@@ -338,13 +454,9 @@
 
     @Override
     public void close() throws Exception {
-        loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).await();
-        serviceLoops.shutdownGracefully(0, 2, TimeUnit.SECONDS).await();
-        try (Stream<Path> files = Files.list(folder)) {
-            for (Path f : files.toList()) {
-                Files.delete(f);
-            }
+        place.close();
+        for (MultiThreadIoEventLoopGroup g : List.of(loops, clientLoops, serviceLoops)) {
+            g.shutdownGracefully(0, 2, TimeUnit.SECONDS).await();
         }
-        Files.delete(folder);
     }
 }
--- a/src/scale/java/holdproxy/scale/real/StandInDiscovery.java
+++ b/src/scale/java/holdproxy/scale/real/StandInDiscovery.java
@@ -99,8 +99,20 @@
 
     /** Publishes a change and has every open watch told in turn. */
     NodeList.Version publish(List<NodeList.Entry> changed) {
+        return publish(changed, false);
+    }
+
+    /** The same, but each watch is told the whole list. */
+    NodeList.Version publishWhole(List<NodeList.Entry> changed) {
+        return publish(changed, true);
+    }
+
+    private NodeList.Version publish(List<NodeList.Entry> changed, boolean whole) {
         return on(() -> {
             NodeList.Version v = list.publish(changed);
+            if (whole) {
+                list.forgetChanges();
+            }
             doors.forEach(d -> List.copyOf(d.callers).forEach(Caller::tell));
             return v;
         });
--- a/src/scale/test/java/holdproxy/scale/ScaleTest.java
+++ b/src/scale/test/java/holdproxy/scale/ScaleTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The scale run as it is started: what it says where it cannot run, what it leaves, and its short form. */
 @Timeout(120)
@@ -27,10 +29,12 @@
     Path folder;
 
     /** The program in a process of its own, with this folder for the repository's. */
-    private Process start(String... args) throws IOException {
-        List<String> command = new ArrayList<>(List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Djava.awt.headless=true",
-            "-Dholdproxy.root=" + folder, "-cp", System.getProperty("java.class.path"), "holdproxy.scale.Scale"));
+    private Process start(List<String> options, String... args) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(options);
+        command.addAll(List.of("-Djava.awt.headless=true", "-Dholdproxy.root=" + folder, "-cp",
+            System.getProperty("java.class.path"), "holdproxy.scale.Scale"));
         command.addAll(List.of(args));
         return new ProcessBuilder(command).redirectOutput(folder.resolve("out").toFile())
             .redirectError(folder.resolve("err").toFile()).start();
@@ -42,7 +46,7 @@
 
     /** Exit code 2, and one line on standard error (the log's lines begin with the time). */
     private void cannot(String why, String... args) throws Exception {
-        Process p = start(args);
+        Process p = start(List.of(), args);
         assertTrue(p.waitFor(60, TimeUnit.SECONDS));
         List<String> said = Files.readAllLines(folder.resolve("err")).stream()
             .filter(l -> !l.matches("\\d\\d:\\d\\d:\\d\\d INFO .*")).toList();
@@ -71,6 +75,53 @@
         }
     }
 
+    @Test
+    void aMissingJarIsToldInOneLine() throws Exception {
+        deployFile();
+        Files.delete(folder.resolve("target/holdproxy.jar"));
+        cannot("target/holdproxy.jar is missing", scenario(String.format(CONTROL, "\"real\":1")).toString());
+    }
+
+    /** The proxies by a line of the deploy file's form, from the classes: tests run before there is a jar. */
+    private void deployFile() throws IOException {
+        Files.createDirectories(folder.resolve("deploy"));
+        Files.createDirectories(folder.resolve("target"));
+        Files.createFile(folder.resolve("target/holdproxy.jar"));
+        Files.writeString(folder.resolve("deploy/balancer.toml"), "build = \"true\"\nrun = \"exec java -cp "
+            + System.getProperty("java.class.path") + " holdproxy.Main serve\"\n");
+    }
+
+    /** Danger: proxies whose run has been ended serve on for good, and hold memory and ports. */
+    @ParameterizedTest
+    @ValueSource(strings = {"INT", "TERM"})
+    void noProxyIsLeftAfterASignal(String signal) throws Exception {
+        deployFile();
+        Path temporary = Files.createDirectory(folder.resolve("tmp"));
+        Process run = start(List.of("-Djava.io.tmpdir=" + temporary),
+            scenario(String.format(CONTROL, "\"real\":2,\"restS\":600")).toString());
+        List<ProcessHandle> proxies = List.of();
+        try {
+            // by then both answer mn, and the phase of rest goes on for longer than the test
+            while (!Files.readString(folder.resolve("err")).contains(": rest\n")) {
+                assertTrue(run.isAlive(), "ended before its proxies were ready");
+                Thread.onSpinWait();
+            }
+            proxies = run.descendants().toList();
+            assertEquals(2, proxies.size());
+            assertEquals(0, new ProcessBuilder("kill", "-" + signal, Long.toString(run.pid())).start().waitFor());
+            assertTrue(run.waitFor(60, TimeUnit.SECONDS));
+            for (ProcessHandle p : proxies) {
+                p.onExit().get(10, TimeUnit.SECONDS);
+            }
+        } finally {
+            run.destroyForcibly();
+            proxies.forEach(ProcessHandle::destroyForcibly);
+        }
+        try (Stream<Path> left = Files.list(temporary)) {
+            assertEquals(List.of(), left.filter(f -> f.getFileName().toString().startsWith("scale")).toList());
+        }
+    }
+
     @Test
     void aFitFindsTheSlopeOfALine() {
         List<double[]> points = Stream.of(10, 30, 100, 300, 730)
