The scale run's plots show needs far below their budget; no proxy outlives a run that is killed

A logarithmic axis where the budget is over 30 times the need, and open circles for lines that fall together. Real proxies end with their run also after SIGKILL (parent death signal).

--- a/src/scale/java/holdproxy/scale/Plot.java
+++ b/src/scale/java/holdproxy/scale/Plot.java
@@ -5,16 +5,19 @@
 import java.awt.geom.Ellipse2D;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.ArrayList;
 import org.jfree.chart.ChartFactory;
 import org.jfree.chart.ChartUtils;
 import org.jfree.chart.JFreeChart;
+import org.jfree.chart.axis.LogAxis;
 import org.jfree.chart.plot.ValueMarker;
 import org.jfree.chart.plot.XYPlot;
 import org.jfree.chart.renderer.xy.XYLineAndShapeRenderer;
+import org.jfree.chart.ui.RectangleAnchor;
+import org.jfree.chart.ui.TextAnchor;
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
 
@@ -24,6 +27,8 @@
         new Color(0x1f77b4), new Color(0xd62728), new Color(0x2ca02c), new Color(0x9467bd), new Color(0x8c564b),
         new Color(0x17becf)};
 
+    private static final double LOGARITHMIC_FROM = 30;
+
     private Plot() {
     }
 
@@ -51,10 +56,12 @@
             f.points().forEach(p -> points.add(p[0], p[1]));
             data.addSeries(points);
             renderer.setSeriesShapesVisible(2 * i, true);
-            renderer.setSeriesShape(2 * i, new Ellipse2D.Double(-4, -4, 8, 8));
+            renderer.setSeriesShapesFilled(2 * i, false); // lines that fall together are seen to
+            int size = 8 + 4 * (i % COLOURS.length);
+            renderer.setSeriesShape(2 * i, new Ellipse2D.Double(-size / 2.0, -size / 2.0, size, size));
             renderer.setSeriesPaint(2 * i, colour);
-            XYSeries line = new XYSeries(Result.shown(f.intercept()) + " + " + Result.shown(f.slope()) + " x, r2 "
-                + Result.shown(f.r2()) + " ".repeat(i));
+            XYSeries line = new XYSeries(Result.shown(f.intercept()) + (f.slope() < 0 ? " - " : " + ")
+                + Result.shown(Math.abs(f.slope())) + " x, r2 " + Result.shown(f.r2()) + " ".repeat(i));
             if (Double.isFinite(f.slope())) {
                 line.add(points.getMinX(), f.at(points.getMinX()));
                 line.add(points.getMaxX(), f.at(points.getMaxX()));
@@ -75,12 +82,26 @@
             ValueMarker budget = new ValueMarker(first.budget(), Color.RED, new BasicStroke(2, BasicStroke.CAP_BUTT,
                 BasicStroke.JOIN_MITER, 1, new float[] {8, 6}, 0));
             budget.setLabel("budget " + Result.shown(first.budget()));
-            budget.setLabelAnchor(org.jfree.chart.ui.RectangleAnchor.TOP_LEFT);
-            budget.setLabelTextAnchor(org.jfree.chart.ui.TextAnchor.BOTTOM_LEFT);
+            budget.setLabelAnchor(RectangleAnchor.TOP_LEFT);
+            budget.setLabelTextAnchor(TextAnchor.BOTTOM_LEFT);
             plot.addRangeMarker(budget);
-            double top = Math.max(plot.getRangeAxis().getUpperBound(), first.budget() * 1.1);
-            plot.getRangeAxis().setUpperBound(top);
+            double most = fits.stream().flatMap(f -> f.points().stream()).mapToDouble(p -> p[1]).max().orElse(0);
+            if (most > 0 && first.budget() > LOGARITHMIC_FROM * most) {
+                plot.setRangeAxis(logarithmic(fits, plot.getRangeAxis().getLabel(), first.budget()));
+            } else {
+                plot.getRangeAxis().setUpperBound(
+                    Math.max(plot.getRangeAxis().getUpperBound(), first.budget() * 1.1));
+            }
         }
         return chart;
     }
+
+    /** On an even axis, a need far below its budget would be a line at 0. */
+    private static LogAxis logarithmic(List<Fit> fits, String label, double budget) {
+        double least = fits.stream().flatMap(f -> f.points().stream()).mapToDouble(p -> p[1]).filter(y -> y > 0)
+            .min().orElse(budget);
+        LogAxis axis = new LogAxis(label);
+        axis.setRange(least / 3, budget * 3);
+        return axis;
+    }
 }
--- a/src/scale/java/holdproxy/scale/real/RealProxy.java
+++ b/src/scale/java/holdproxy/scale/real/RealProxy.java
@@ -13,11 +13,14 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A proxy in a process of its own, started by the deploy file's run line. */
 final class RealProxy {
+    private static final Path SETPRIV = Path.of("/usr/bin/setpriv");
     private static final int READY_S = 30;
     private static final int GREETING_MS = 5000;
     private static final long CONNECT_AGAIN_MS = 20;
@@ -33,7 +36,12 @@
         listen = free(address);
         log = place.folder().resolve("real" + number + ".log");
         Path temporary = Files.createDirectory(place.folder().resolve("real" + number + ".tmp"));
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", Workplace.runLine())
+        List<String> command = new ArrayList<>(List.of("/bin/sh", "-c", Workplace.runLine()));
+        if (Files.isExecutable(SETPRIV)) {
+            // also where the run is killed outright, and no hook of it runs
+            command.addAll(0, List.of(SETPRIV.toString(), "--pdeathsig", "KILL"));
+        }
+        ProcessBuilder builder = new ProcessBuilder(command)
             .directory(Scale.root().toFile()).redirectErrorStream(true).redirectOutput(log.toFile());
         Map<String, String> env = builder.environment();
         env.putAll(config.variables(listen.getAddress().getHostAddress() + ":" + listen.getPort(), discovery));
