--- a/src/scale/java/holdproxy/scale/real/ControlRun.java
+++ b/src/scale/java/holdproxy/scale/real/ControlRun.java
@@ -12,7 +12,6 @@
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -340,11 +339,11 @@
     }
 
     /** What a phase began with, at one kind of proxies. */
-    private record Before(List<StandInDiscovery.Traffic> traffic, double cpuS) {
+    private record Before(long atNs, List<StandInDiscovery.Traffic> traffic, double cpuS) {
     }
 
     private Before before(List<StandInDiscovery.Door> at, double cpuS) {
-        return new Before(at.stream().map(StandInDiscovery.Door::traffic).toList(), cpuS);
+        return new Before(System.nanoTime(), at.stream().map(StandInDiscovery.Door::traffic).toList(), cpuS);
     }
 
     /**
@@ -384,20 +383,19 @@
     private void cost(String name, List<StandInDiscovery.Door> at, Before before, double seconds, int count,
             double cpuS) {
         StandInDiscovery.Traffic sum = new StandInDiscovery.Traffic(0, 0, 0, 0);
-        List<Long> calls = new ArrayList<>();
         for (int i = 0; i < at.size(); i++) {
             StandInDiscovery.Traffic was = i < before.traffic.size() ? before.traffic.get(i)
                 : new StandInDiscovery.Traffic(0, 0, 0, 0);
             sum = sum.plus(at.get(i).traffic().since(was));
-            for (long t : at.get(i).callTimes(was.calls())) {
-                calls.add(t);
-            }
         }
         put(name + ".calls", sum.calls(), "calls");
         put(name + ".callsPerS", sum.calls() / seconds, "calls/s");
-        put(name + ".peakCallsPerS", peak(calls), "calls/s");
+        put(name + ".peakCallsPerS", Events.peakPerS(at.stream().flatMap(d -> d.callsSince(before.atNs).stream())),
+            "calls/s");
         put(name + ".failedCalls", sum.failed(), "calls");
         put(name + ".listLines", sum.lines(), "lines");
+        put(name + ".peakLinesPerS", Events.peakPerS(at.stream().flatMap(d -> d.linesSince(before.atNs).stream())),
+            "lines/s");
         put(name + ".bytesEach", sum.bytes() / (double) count, "B");
         put(name + ".bytesPerSEach", sum.bytes() / seconds / count, "B/s");
         put(name + ".cpuEach", cpuS * 100 / seconds / count, "% of a core");
@@ -417,19 +415,6 @@
         measured.put(name, new Measurement(value, unit));
     }
 
-    /** The most arrivals within any one second. */
-    private static int peak(List<Long> times) {
-        times.sort(Comparator.naturalOrder());
-        int most = 0;
-        for (int from = 0, to = 0; to < times.size(); to++) {
-            while (times.get(to) - times.get(from) > 1_000_000_000L) {
-                from++;
-            }
-            most = Math.max(most, to - from + 1);
-        }
-        return most;
-    }
-
     private double cpuS() {
         return loopThreads.stream().mapToLong(ManagementFactory.getThreadMXBean()::getThreadCpuTime).sum() / 1e9;
     }
--- /dev/null
+++ b/src/scale/java/holdproxy/scale/real/Events.java
@@ -0,0 +1,49 @@
+package holdproxy.scale.real;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Counted moments: each with its time by {@link System#nanoTime()} and how much it counts. Of one thread. */
+final class Events {
+    private static final long SECOND_NS = 1_000_000_000;
+
+    private long[] timesNs = new long[64];
+    private int[] amounts = new int[64];
+    private int count;
+
+    void add(int amount) {
+        if (count == timesNs.length) {
+            timesNs = Arrays.copyOf(timesNs, 2 * count);
+            amounts = Arrays.copyOf(amounts, 2 * count);
+        }
+        timesNs[count] = System.nanoTime();
+        amounts[count++] = amount;
+    }
+
+    /** Those since a moment, as pairs of time and amount. */
+    List<long[]> since(long fromNs) {
+        List<long[]> events = new ArrayList<>();
+        for (int i = count - 1; i >= 0 && timesNs[i] - fromNs >= 0; i--) {
+            events.add(new long[] {timesNs[i], amounts[i]});
+        }
+        return events;
+    }
+
+    /** The most that falls within any one second. */
+    static long peakPerS(Stream<long[]> events) {
+        List<long[]> inOrder = events.sorted(Comparator.comparingLong(e -> e[0])).toList();
+        long most = 0;
+        long sum = 0;
+        for (int from = 0, to = 0; to < inOrder.size(); to++) {
+            sum += inOrder.get(to)[1];
+            while (inOrder.get(to)[0] - inOrder.get(from)[0] > SECOND_NS) {
+                sum -= inOrder.get(from++)[1];
+            }
+            most = Math.max(most, sum);
+        }
+        return most;
+    }
+}
--- a/src/scale/java/holdproxy/scale/real/StandInDiscovery.java
+++ b/src/scale/java/holdproxy/scale/real/StandInDiscovery.java
@@ -31,7 +31,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -196,8 +195,9 @@
         private long bytes;
         private long lines;
         private long failed;
-        private long[] callTimes = new long[64];
-        private int calls;
+        private long calls;
+        private final Events callTimes = new Events();
+        private final Events lineTimes = new Events();
 
         Door(BiConsumer<Door, NodeList.Version> written) {
             this.written = written;
@@ -230,13 +230,19 @@
             return on(() -> new Traffic(calls, bytes, lines, failed));
         }
 
-        /** Arrivals of calls from the {@code first} on, by {@link System#nanoTime()}. */
-        long[] callTimes(long first) {
-            return on(() -> Arrays.copyOfRange(callTimes, (int) first, calls));
+        /** Calls that have come since a moment. */
+        List<long[]> callsSince(long fromNs) {
+            return on(() -> callTimes.since(fromNs));
         }
 
-        int watches() {
-            return on(() -> (int) callers.stream().filter(c -> c.watch).count());
+        /** Lists sent since a moment, each counted with its lines. */
+        List<long[]> linesSince(long fromNs) {
+            return on(() -> lineTimes.since(fromNs));
+        }
+
+        private void sent(NodeList.Text text) {
+            lines += text.lines();
+            lineTimes.add(text.lines());
         }
 
         /** Ends the oldest watch here, as its proxy's end would. */
@@ -361,10 +367,8 @@
             if (!(message instanceof HttpRequest call) || door.cut || ended) {
                 return;
             }
-            if (door.calls == door.callTimes.length) {
-                door.callTimes = Arrays.copyOf(door.callTimes, 2 * door.calls);
-            }
-            door.callTimes[door.calls++] = System.nanoTime();
+            door.calls++;
+            door.callTimes.add(1);
             QueryStringDecoder query = new QueryStringDecoder(call.uri());
             if (!query.path().equals(PATH)) {
                 answer(HttpResponseStatus.NOT_FOUND, new byte[0]);
@@ -397,7 +401,7 @@
                         beginWatch(index);
                     } else if (passes()) {
                         NodeList.Text whole = list.whole();
-                        door.lines += whole.lines();
+                        door.sent(whole);
                         answer(HttpResponseStatus.OK, whole.bytes());
                     }
                 }, turn(lines), TimeUnit.NANOSECONDS);
@@ -453,7 +457,7 @@
         }
 
         private void send(NodeList.Text text) {
-            door.lines += text.lines();
+            door.sent(text);
             NodeList.Version v = list.latest();
             version = v.number();
             context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(text.bytes())))
