Many decision modules on one event clock: tenants, cold nodes, connections, discovery, cost

Checked: a node's mean time against Pollaczek and Khinchine within 2%, hand-worked cases for connections that rest, the cold window, calls answered in turn and messages.

--- a/src/scale/java/holdproxy/scale/Experiments.java
+++ b/src/scale/java/holdproxy/scale/Experiments.java
@@ -1,6 +1,7 @@
 package holdproxy.scale;
 
 import holdproxy.scale.real.ControlExperiment;
+import holdproxy.scale.virtual.VirtualExperiments;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,6 +14,7 @@
     static {
         List<Experiment> all = new ArrayList<>();
         all.add(new ControlExperiment());
+        all.addAll(VirtualExperiments.all());
         all.forEach(e -> BY_NAME.put(e.name(), e));
     }
 
--- /dev/null
+++ b/src/scale/java/holdproxy/scale/virtual/DecisionCost.java
@@ -0,0 +1,224 @@
+package holdproxy.scale.virtual;
+
+import holdproxy.Router;
+import holdproxy.RoutingPolicy;
+import holdproxy.scale.Experiment;
+import holdproxy.scale.Measurement;
+import holdproxy.scale.Progress;
+import holdproxy.scale.Scenario;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** Processor time and memory of one decision module, in real time, on one thread and a warm machine. */
+final class DecisionCost implements Experiment {
+    private static final int ROUNDS = 7;
+    private static final int MODULES = 40;
+
+    @Override
+    public String name() {
+        return "decision-cost";
+    }
+
+    @Override
+    public String about() {
+        return "processor time of a list, a delta and a decision, and memory of a module, in real time; needs a "
+            + "quiet machine";
+    }
+
+    @Override
+    public Map<String, String> inputs() {
+        Map<String, String> inputs = new LinkedHashMap<>();
+        inputs.put("nodes", "cache nodes (83)");
+        inputs.put("tenants", "tenants (4)");
+        inputs.put("failing", "share of attempts that fail (0.001)");
+        inputs.put("decisions", "decisions in each of 7 rounds, after 3 to warm up (200000)");
+        inputs.put("inFlight", "requests held while memory is measured (0)");
+        return inputs;
+    }
+
+    /** Does nothing but keep what the module sent last. */
+    private static final class Sink implements Router.Actions {
+        int node = -1;
+
+        @Override
+        public void send(long request, int to, long timeoutUs) {
+            node = to;
+        }
+
+        @Override
+        public void refuse(long request, long retryAfterUs) {
+        }
+
+        @Override
+        public void fail(long request) {
+        }
+
+        @Override
+        public void cancel(long request, int attempt) {
+        }
+
+        @Override
+        public void timer(long delayUs, long label) {
+        }
+
+        @Override
+        public void probe(int to) {
+        }
+
+        @Override
+        public void closeIdle(int to) {
+        }
+
+        @Override
+        public void subscribe() {
+        }
+
+        @Override
+        public void fetchNodes() {
+        }
+
+        @Override
+        public void tell(int router, byte[] data) {
+        }
+
+        @Override
+        public void log(String line) {
+        }
+    }
+
+    @Override
+    public Map<String, Measurement> run(Scenario.Point point, long seed, Progress progress) {
+        Site site = new Site();
+        site.nodes = point.count("nodes", site.nodes);
+        site.askForNodes = false;
+        double[] quotas = VirtualExperiment.quotas(site, point.count("tenants", site.tenants));
+        Router.Settings settings = site.settings(0, quotas);
+        Router.Node[] list = list(site.nodes);
+        Values out = new Values();
+        int decisions = point.count("decisions", 200_000);
+        double[] us = new double[ROUNDS];
+        for (int round = -3; round < ROUNDS; round++) {
+            double one = decisions(settings, list, seed + round, decisions, point.number("failing", 0.001));
+            if (round >= 0) {
+                us[round] = one;
+            }
+        }
+        Arrays.sort(us);
+        out.put("decision", us[ROUNDS / 2], "us");
+        out.put("decision.least", us[0], "us");
+        out.put("decision.most", us[ROUNDS - 1], "us");
+        out.put("decision.share", us[ROUNDS / 2] * 657.5 / 1e6, "cores");
+        out.put("list", lists(settings, list, list, seed), "us");
+        out.put("delta", lists(settings, list, new Router.Node[] {list[0]}, seed), "us");
+        memory(settings, list, seed, point.count("inFlight", 0), out);
+        progress.step("measured");
+        return out.all();
+    }
+
+    private static Router.Node[] list(int nodes) {
+        Router.Node[] list = new Router.Node[nodes];
+        for (int i = 0; i < nodes; i++) {
+            list[i] = new Router.Node();
+            list[i].id = i * 0x9e3779b1;
+            list[i].zone = i % 9;
+            list[i].cell = i / 4;
+        }
+        return list;
+    }
+
+    private static RoutingPolicy module(Router.Settings settings, Router.Node[] list, long seed, Sink sink) {
+        RoutingPolicy p = new RoutingPolicy(settings, seed, 0, sink);
+        p.onNodes(0, Router.ListKind.CACHED, list, list.length, sink);
+        return p;
+    }
+
+    /** Microseconds a decision, requests coming at the rate of the plan, each answered before the next. */
+    private static double decisions(Router.Settings settings, Router.Node[] list, long seed, int count,
+            double failing) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Sink sink = new Sink();
+        RoutingPolicy p = module(settings, list, seed, sink);
+        Router.Request q = new Router.Request();
+        Router.Report nothing = new Router.Report();
+        long[] keys = new long[1 << 16];
+        int[] tenants = new int[1 << 16];
+        boolean[] fails = new boolean[1 << 16];
+        for (int i = 0; i < keys.length; i++) {
+            keys[i] = random.nextLong() | 1;
+            tenants[i] = random.nextInt(settings.tenants.length);
+            fails[i] = random.nextDouble() < failing;
+        }
+        long began = System.nanoTime();
+        for (int i = 0; i < count; i++) {
+            long now = i * 1521L;
+            int at = i & keys.length - 1;
+            q.id = i;
+            q.key = keys[at];
+            q.tenant = tenants[at];
+            q.dueUs = now + 1_500_000;
+            sink.node = -1;
+            p.onRequest(now, q, sink);
+            for (int attempt = 0; sink.node >= 0 || sink.node < -1; attempt++) {
+                boolean fail = attempt == 0 && fails[at];
+                sink.node = -1;
+                p.onOutcome(now + 5000, i, attempt, fail ? Router.Outcome.RESET : Router.Outcome.OK, 5000, !fail,
+                    Router.CacheNote.HIT, nothing, sink);
+            }
+        }
+        return (System.nanoTime() - began) / 1000.0 / count;
+    }
+
+    /** Microseconds to take in a list, the median of many. */
+    private static double lists(Router.Settings settings, Router.Node[] list, Router.Node[] told, long seed) {
+        Sink sink = new Sink();
+        RoutingPolicy p = module(settings, list, seed, sink);
+        Router.ListKind kind = told == list ? Router.ListKind.FULL : Router.ListKind.DELTA;
+        double[] us = new double[2000];
+        for (int i = 0; i < 2 * us.length; i++) {
+            long began = System.nanoTime();
+            p.onNodes(i, kind, told, told.length, sink);
+            us[i % us.length] = (System.nanoTime() - began) / 1000.0;
+        }
+        Arrays.sort(us);
+        return us[us.length / 2];
+    }
+
+    private static void memory(Router.Settings settings, Router.Node[] list, long seed, int inFlight, Values out) {
+        Sink sink = new Sink();
+        RoutingPolicy[] modules = new RoutingPolicy[MODULES];
+        long before = used();
+        for (int m = 0; m < MODULES; m++) {
+            modules[m] = module(settings, list, seed + m, sink);
+        }
+        long empty = used();
+        Router.Request q = new Router.Request();
+        for (RoutingPolicy p : modules) {
+            for (int i = 0; i < inFlight; i++) {
+                q.id = i;
+                q.key = i + 1L;
+                q.dueUs = 1_500_000;
+                p.onRequest(i, q, sink);
+            }
+        }
+        long held = used();
+        out.put("memory", Math.max(0, empty - before) / 1024.0 / MODULES, "KB");
+        if (inFlight > 0) {
+            out.put("memory.perRequest", (held - empty) / (double) MODULES / inFlight, "B");
+        }
+        if (modules[MODULES - 1] == null) {
+            throw new IllegalStateException("the modules must outlive the measurement");
+        }
+    }
+
+    private static long used() {
+        Runtime r = Runtime.getRuntime();
+        long least = Long.MAX_VALUE;
+        for (int i = 0; i < 4; i++) {
+            System.gc();
+            least = Math.min(least, r.totalMemory() - r.freeMemory());
+        }
+        return least;
+    }
+}
--- /dev/null
+++ b/src/scale/java/holdproxy/scale/virtual/Registry.java
@@ -0,0 +1,267 @@
+package holdproxy.scale.virtual;
+
+import holdproxy.Router;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.SplittableUniformRandomProvider;
+
+/**
+ * Discovery: calls answered in turn at a bounded rate, watches, changes that reach each proxy at its own time,
+ * and a service that is down, silent or cut off. Bytes are those of PROTOCOL's lists.
+ */
+final class Registry {
+    /** What the proxy's own data path does: it gives up a call or watch that says nothing for so long. */
+    static final long SILENCE_US = 3_000_000;
+    static final long CONNECT_US = 2_000_000;
+    static final long EMPTY_LINE_US = 2_000_000;
+    /** An entry of a list, a list around its entries, an answer's and a request's head, an empty line. */
+    static final int ENTRY_BYTES = 125;
+    static final int LIST_BYTES = 45;
+    static final int HEAD_BYTES = 160;
+    static final int LINE_BYTES = 6;
+    private static final int ZONE = 0;
+    private static final Router.Node[] NONE = {};
+
+    enum Service { UP, DOWN, SILENT }
+
+    private record Change(int version, Router.Node[] entries, long madeAt) {
+    }
+
+    private final World world;
+    private final EventClock clock;
+    private final SplittableUniformRandomProvider random;
+    private final Router.Node[] list;
+    private final List<Change> changes = new ArrayList<>();
+    private final ArrayDeque<RegistryCall> queue = new ArrayDeque<>();
+    private boolean working;
+    private Service service = Service.UP;
+    private int version = 1;
+
+    long calls;
+    long answers;
+    long failures;
+    long listBytes;
+    long mostCallsInASecond;
+    private long second = -1;
+    private long callsThisSecond;
+    /** When each proxy was told of the present version; -1 before. */
+    final long[] toldAt;
+
+    Registry(World world, SplittableUniformRandomProvider random) {
+        this.world = world;
+        this.random = random;
+        clock = world.clock;
+        list = new Router.Node[world.nodes.length];
+        toldAt = new long[world.site.proxies];
+        for (int i = 0; i < list.length; i++) {
+            list[i] = entry(world.nodes[i]);
+        }
+    }
+
+    private static Router.Node entry(CacheNode node) {
+        Router.Node n = new Router.Node();
+        n.id = node.id;
+        n.zone = node.zone;
+        n.cell = node.id / 4;
+        n.state = node.state;
+        n.startedUs = node.startedUs;
+        return n;
+    }
+
+    Router.Node[] list() {
+        return list;
+    }
+
+    int version() {
+        return version;
+    }
+
+    // ---- changes ----
+
+    /** These nodes have changed: every proxy that watches is told, each at its own time. */
+    void changed(CacheNode... nodes) {
+        version++;
+        Router.Node[] entries = new Router.Node[nodes.length];
+        for (int i = 0; i < nodes.length; i++) {
+            entries[i] = entry(nodes[i]);
+            list[nodes[i].id] = entries[i];
+        }
+        changes.add(new Change(version, entries, clock.now()));
+        java.util.Arrays.fill(toldAt, -1);
+        if (service != Service.UP) {
+            return;
+        }
+        long least = (long) (world.site.listLeastUs * (1 + random.nextDouble()));
+        for (HollowProxy p : world.proxies) {
+            long wait = least + (long) (random.nextDouble() * world.site.listSpreadUs);
+            clock.after(wait, () -> tell(p));
+        }
+    }
+
+    private void tell(HollowProxy p) {
+        if (p.running && p.watch != null && p.watch.open && service == Service.UP && !cutOff(p)) {
+            bring(p, false);
+        }
+    }
+
+    /** All that has changed since the proxy's list, or the whole list where much has. */
+    private void bring(HollowProxy p, boolean evenNothing) {
+        int behind = version - p.version;
+        if (behind == 0) {
+            if (evenNothing) {
+                p.nodes(Router.ListKind.DELTA, NONE, version);
+            }
+            return;
+        }
+        List<Router.Node> entries = new ArrayList<>();
+        for (Change c : changes.subList(Math.max(0, changes.size() - behind), changes.size())) {
+            entries.addAll(List.of(c.entries));
+        }
+        boolean whole = entries.size() >= list.length;
+        Router.Node[] told = whole ? list : entries.toArray(NONE);
+        listBytes += LIST_BYTES + (long) told.length * ENTRY_BYTES;
+        p.nodes(whole ? Router.ListKind.FULL : Router.ListKind.DELTA, told, version);
+    }
+
+    void told(HollowProxy p) {
+        if (p.version == version && toldAt[p.index] < 0) {
+            toldAt[p.index] = clock.now();
+        }
+    }
+
+    private boolean cutOff(HollowProxy p) {
+        return !world.network.hears(p.zone, ZONE);
+    }
+
+    // ---- calls ----
+
+    void call(HollowProxy p, boolean stream) {
+        calls++;
+        listBytes += HEAD_BYTES;
+        long s = clock.now() / 1_000_000;
+        callsThisSecond = s == second ? callsThisSecond + 1 : 1;
+        second = s;
+        mostCallsInASecond = Math.max(mostCallsInASecond, callsThisSecond);
+        RegistryCall call = new RegistryCall(p, stream);
+        if (stream) {
+            p.watch = call;
+        }
+        if (cutOff(p)) {
+            clock.after(CONNECT_US, () -> end(call, Router.ListKind.FAILED));
+            return;
+        }
+        if (service == Service.DOWN) {
+            clock.after(1000, () -> end(call, Router.ListKind.FAILED));
+            return;
+        }
+        clock.after(SILENCE_US, () -> {
+            if (!call.open) {
+                end(call, Router.ListKind.SILENT);
+            }
+        });
+        if (service == Service.UP) {
+            clock.after(1000, () -> {
+                queue.add(call);
+                work();
+            });
+        }
+    }
+
+    private void work() {
+        if (working || service != Service.UP) {
+            return;
+        }
+        RegistryCall call = queue.poll();
+        while (call != null && (call.over || call.life != call.by.life())) {
+            call = queue.poll();
+        }
+        if (call == null) {
+            return;
+        }
+        working = true;
+        RegistryCall next = call;
+        clock.after((long) (1e6 / world.site.callsPerS), () -> {
+            working = false;
+            answer(next);
+            work();
+        });
+    }
+
+    private void answer(RegistryCall call) {
+        if (call.over || call.life != call.by.life() || service != Service.UP || cutOff(call.by)) {
+            return;
+        }
+        answers++;
+        call.open = true;
+        listBytes += HEAD_BYTES;
+        if (!call.stream) {
+            call.over = true;
+            listBytes += LIST_BYTES + (long) list.length * ENTRY_BYTES;
+            call.by.nodes(Router.ListKind.FULL, list, version);
+        } else {
+            bring(call.by, true);
+        }
+    }
+
+    private void end(RegistryCall call, Router.ListKind how) {
+        if (call.over || call.life != call.by.life()) {
+            return;
+        }
+        call.over = true;
+        call.open = false;
+        failures++;
+        if (call.by.watch == call) {
+            call.by.watch = null;
+        }
+        call.by.nodes(how, NONE, 0);
+    }
+
+    void gone(HollowProxy p) {
+        p.watch = null;
+    }
+
+    // ---- faults ----
+
+    /** DOWN: connections are refused and watches end; SILENT: nothing is said any more. */
+    void service(Service now) {
+        service = now;
+        if (now == Service.UP) {
+            working = false;
+            work();
+            return;
+        }
+        queue.clear();
+        for (HollowProxy p : world.proxies) {
+            RegistryCall w = p.watch;
+            if (w != null && w.open) {
+                if (now == Service.DOWN) {
+                    clock.after(1000, () -> end(w, Router.ListKind.FAILED));
+                } else {
+                    fallSilent(w);
+                }
+            }
+        }
+    }
+
+    /** The proxies of a region that is cut off hear nothing more on their watches. */
+    void cut(int region) {
+        for (HollowProxy p : world.proxies) {
+            RegistryCall w = p.watch;
+            if (w != null && w.open && cutOff(p)) {
+                fallSilent(w);
+            }
+        }
+    }
+
+    /** The last empty line came up to 2 s ago. */
+    private void fallSilent(RegistryCall w) {
+        long since = (long) (random.nextDouble() * EMPTY_LINE_US);
+        clock.after(SILENCE_US - since, () -> end(w, Router.ListKind.SILENT));
+    }
+
+    /** Bytes of empty lines on all open watches so far are left out; this many go to one proxy a second. */
+    static double emptyLineBytesPerS() {
+        return LINE_BYTES * 1e6 / EMPTY_LINE_US;
+    }
+}
--- /dev/null
+++ b/src/scale/test/java/holdproxy/scale/virtual/EngineTest.java
@@ -0,0 +1,208 @@
+package holdproxy.scale.virtual;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.Router;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.SplittableUniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+/** The event clock and the stand-ins, against cases worked by hand and a known result on queues. */
+class EngineTest {
+
+    private static Site small(int proxies, int nodes) {
+        Site s = new Site();
+        s.proxies = proxies;
+        s.nodes = nodes;
+        s.keys = 1000;
+        s.regions = 1;
+        s.zones = 1;
+        s.askForNodes = false;
+        return s;
+    }
+
+    /** Keeps the latencies of what was served. */
+    private static final class Latencies implements Clients.Ledger {
+        double sum;
+        int served;
+        int lost;
+
+        @Override
+        public void asked(ClientRequest q) {
+        }
+
+        @Override
+        public void refused(ClientRequest q, boolean first) {
+        }
+
+        @Override
+        public void served(ClientRequest q, long latencyUs) {
+            sum += latencyUs;
+            served++;
+        }
+
+        @Override
+        public void lost(ClientRequest q) {
+            lost++;
+        }
+    }
+
+    @Test
+    void eventsRunInTheOrderOfTimeAndThenOfAsking() {
+        EventClock clock = new EventClock();
+        List<String> ran = new ArrayList<>();
+        clock.at(20, () -> ran.add("c"));
+        clock.at(10, () -> {
+            ran.add("a");
+            clock.after(10, () -> ran.add("d"));
+            clock.after(0, () -> ran.add("b"));
+        });
+        for (int i = 0; i < 50; i++) {
+            int n = i;
+            clock.at(30, () -> ran.add("" + n));
+        }
+        clock.at(40, () -> ran.add("late"));
+        clock.runUntil(30);
+        assertEquals(List.of("a", "b", "c", "d"), ran.subList(0, 4));
+        for (int i = 0; i < 50; i++) {
+            assertEquals("" + i, ran.get(4 + i));
+        }
+        assertEquals(54, ran.size());
+        assertEquals(30, clock.now());
+        assertThrows(IllegalArgumentException.class, () -> clock.at(29, () -> { }));
+    }
+
+    /** M/G/1: the mean wait is rate * E[S^2] / 2(1 - load), after Pollaczek and Khinchine. */
+    @Test
+    void aNodeQueuesAsOneServerDoes() {
+        Site site = small(1, 1);
+        site.requestsPerS = 500;
+        site.load = 0.5;
+        site.cores = 1;
+        site.hitShare = 1;
+        site.sameZoneUs = 0;
+        site.handshakeWork = 0;
+        site.idleCloseUs = 1_000_000_000_000L; // connections stay open, so that none has to be made on the way
+        site.hedging = false;
+        Latencies latencies = new Latencies();
+        double[] quotas = {500};
+        World w = new World(site, 5, quotas, latencies);
+        w.clients.begin(VirtualExperiment.everyone(site, quotas));
+        w.run(600);
+        double work = site.meanWorkUs();
+        assertEquals(1000, work, 1e-6);
+        double squared = work * work * Math.exp(site.workSigma * site.workSigma);
+        double wait = 500e-6 * squared / (2 * (1 - 0.5));
+        assertEquals(work + wait, latencies.sum / latencies.served, 0.02 * (work + wait));
+        assertEquals(0, latencies.lost);
+    }
+
+    @Test
+    void aSurplusConnectionIsClosedAfterAnEighthOfTheTime() {
+        Site site = small(1, 1);
+        EventClock clock = new EventClock();
+        SplittableUniformRandomProvider random =
+            (SplittableUniformRandomProvider) RandomSource.L64_X128_MIX.create(1L);
+        CacheNode node = new CacheNode(0, 0, site, clock, new Origin(clock, 1, 1, 1), random);
+        ConnectionPool pool = new ConnectionPool(clock, node, site);
+        for (int i = 0; i < 2; i++) {
+            assertTrue(node.dialed(() -> { }));
+            pool.opened();
+        }
+        pool.rest();
+        pool.rest();
+        clock.runUntil(999_999); // 10 s less a fifth, by eight
+        assertEquals(2, node.connections);
+        clock.runUntil(1_000_000);
+        assertEquals(1, node.connections);
+        clock.runUntil(7_999_999);
+        assertEquals(1, node.connections);
+        clock.runUntil(8_000_000);
+        assertEquals(0, node.connections);
+        assertEquals(0, pool.open);
+    }
+
+    @Test
+    void theColdWindowHoldsWhatCameWithinItsSpan() {
+        Site site = small(1, 1);
+        site.requestsPerS = 62; // 100 a second at full capacity
+        site.coldFrom = 0.5;
+        site.coldUs = 10_000_000;
+        site.tipMultiple = 2;
+        site.fallUs = 1_000_000;
+        assertEquals(100 + 2 * 10 + 2, ColdWindow.budget(site, 0.5), 1e-9);
+        ColdWindow window = new ColdWindow(site, 0);
+        for (int i = 0; i < 61; i++) {
+            window.count(0, i >= 31);
+        }
+        assertEquals(61 / 122.0, window.worst, 1e-9);
+        assertEquals(30 / 61.0, window.worstTold, 1e-9);
+        window.count(1_000_000, true); // those at 0 are a whole span ago
+        assertEquals(61 / 122.0, window.worst, 1e-9);
+        for (int i = 0; i < 122; i++) {
+            window.count(1_000_000, true);
+        }
+        assertEquals(123 / ColdWindow.budget(site, 0.55), window.worst, 1e-9);
+        assertEquals(1, window.worstTold, 1e-9);
+        assertEquals(1_000_000, window.worstAtUs);
+    }
+
+    /** A hundred calls a second, in turn: the last of 200 made at once is answered after two seconds. */
+    @Test
+    void discoveryAnswersItsCallsInTurn() {
+        Site site = small(200, 4);
+        site.callsPerS = 100;
+        World w = new World(site, 1, new double[] {1}, new Latencies());
+        w.nodes[0].state = Router.NodeState.DRAINING;
+        w.registry.changed(w.nodes[0]);
+        w.run(3);
+        long last = 0;
+        long first = Long.MAX_VALUE;
+        for (long t : w.registry.toldAt) {
+            assertTrue(t >= 0);
+            last = Math.max(last, t);
+            first = Math.min(first, t);
+        }
+        assertEquals(200, w.registry.calls);
+        assertEquals(11_000, first); // a call takes 1 ms to come
+        assertEquals(2_001_000, last);
+    }
+
+    @Test
+    void messagesArriveLateAndAreCounted() {
+        Site site = small(3, 2);
+        site.peerLoss = 0;
+        World w = new World(site, 1, new double[] {1}, new Latencies());
+        w.proxies[0].tell(Router.Actions.ALL, new byte[100]);
+        w.proxies[1].tell(2, new byte[256]);
+        assertEquals(2 * 128, w.proxies[0].bytesTold);
+        assertEquals(0, w.proxies[1].bytesHeard);
+        w.run(1);
+        assertEquals(128, w.proxies[1].bytesHeard);
+        assertEquals(128 + 284, w.proxies[2].bytesHeard);
+        assertEquals(2.0 * (2 * 128 + 284) / 3, w.peerBytesPerSEach(), 1e-9);
+        assertThrows(IllegalStateException.class, () -> w.proxies[0].tell(1, new byte[257]));
+        Site forbidden = small(2, 2);
+        forbidden.mayTell = false;
+        World alone = new World(forbidden, 1, new double[] {1}, new Latencies());
+        assertThrows(IllegalStateException.class, () -> alone.proxies[0].tell(1, new byte[1]));
+    }
+
+    @Test
+    void aRegionThatIsCutOffHearsNothing() {
+        Site site = small(2, 2);
+        site.regions = 2;
+        site.zones = 2;
+        site.peerLoss = 0;
+        World w = new World(site, 1, new double[] {1}, new Latencies());
+        w.network.cut(1, true);
+        assertTrue(w.network.hears(0, 0) && w.network.hears(1, 1) && !w.network.hears(0, 1));
+        w.proxies[0].tell(1, new byte[9]);
+        w.run(1);
+        assertEquals(0, w.proxies[1].bytesHeard);
+    }
+}
