The scale run cuts regions off and restarts proxies together, under traffic

Change: region-cut and restart-storm, with what nodes and discovery have to do meanwhile; tallies group by any trait of a request.

--- a/src/scale/java/holdproxy/scale/virtual/ClientRequest.java
+++ b/src/scale/java/holdproxy/scale/virtual/ClientRequest.java
@@ -10,6 +10,8 @@
     int retriesLeft;
     /** Where its clients come in; -1: at any proxy. */
     int home = -1;
+    /** The proxy of its first try. */
+    int firstProxy;
     boolean refusedFirst;
     boolean over;
 }
--- a/src/scale/java/holdproxy/scale/virtual/Clients.java
+++ b/src/scale/java/holdproxy/scale/virtual/Clients.java
@@ -116,6 +116,7 @@
         q.dueUs = q.askedUs + world.settings.classes[q.requestClass].deadlineUs;
         q.retriesLeft = site.clientRetries;
         int proxy = stream.firstProxy + random.nextInt(stream.proxies);
+        q.firstProxy = proxy;
         q.home = site.front && stream.proxies == site.proxies ? -1 : proxy;
         ledger.asked(q);
         attempt(q, proxy);
--- a/src/scale/java/holdproxy/scale/virtual/ColdRamp.java
+++ b/src/scale/java/holdproxy/scale/virtual/ColdRamp.java
@@ -25,7 +25,7 @@
         double withinS = p.number("withinS", 0);
         double endS = backS + withinS + site.coldUs / 1e6 + 1;
         long[] aims = Arrays.stream(site.settings(0, quotas).classes).mapToLong(c -> c.aimUs).toArray();
-        Tally tally = new Tally(1, t -> 0, aims, 100_000, endS + 4);
+        Tally tally = new Tally(1, q -> 0, aims, 100_000, endS + 4);
         World w = new World(site, seed, quotas, tally);
         Clients.Stream all = everyone(site, quotas);
         w.clients.begin(all);
--- a/src/scale/java/holdproxy/scale/virtual/Connections.java
+++ b/src/scale/java/holdproxy/scale/virtual/Connections.java
@@ -22,7 +22,7 @@
         double[] quotas = quotas(site, p.count("tenants", site.tenants));
         site.connectionsPerCore = 1_000_000; // counted, not bounded
         long[] aims = Arrays.stream(site.settings(0, quotas).classes).mapToLong(c -> c.aimUs).toArray();
-        Tally tally = new Tally(1, t -> 0, aims, 100_000, REST_S + BURST_S + 4);
+        Tally tally = new Tally(1, q -> 0, aims, 100_000, REST_S + BURST_S + 4);
         World w = new World(site, seed, quotas, tally);
         Clients.Stream all = everyone(site, quotas);
         w.clients.begin(all);
--- a/src/scale/java/holdproxy/scale/virtual/DiscoveryCalls.java
+++ b/src/scale/java/holdproxy/scale/virtual/DiscoveryCalls.java
@@ -23,7 +23,7 @@
         Site site = site(p);
         site.askForNodes = p.number("pushed", 0) == 0;
         double[] quotas = quotas(site, site.tenants);
-        World w = new World(site, seed, quotas, new Tally(1, t -> 0, new long[4], 1_000_000, 1));
+        World w = new World(site, seed, quotas, new Tally(1, q -> 0, new long[4], 1_000_000, 1));
         Registry r = w.registry;
         // something to tell from the first moment on
         w.nodes[0].state = holdproxy.Router.NodeState.DRAINING;
@@ -57,8 +57,7 @@
         double heal = cut + p.number("cutS", 60);
         int region = site.regions - 1;
         if (region > 0) {
-            w.network.cut(region, true);
-            r.cut(region);
+            w.cut(region, true);
             w.run(heal - 30);
             w.nodes[2 % site.nodes].state = holdproxy.Router.NodeState.DRAINING;
             r.changed(w.nodes[2 % site.nodes]);
@@ -66,7 +65,7 @@
             w.run(heal);
             out.put("cut.callsPerSWhileCut", (r.calls - before) / 30.0, "1/s");
             calls = r.calls;
-            w.network.cut(region, false);
+            w.cut(region, false);
             r.mostCallsInASecond = 0;
             w.run(heal + 30);
             out.put("cut.calls", r.calls - calls, "calls");
--- a/src/scale/java/holdproxy/scale/virtual/Tally.java
+++ b/src/scale/java/holdproxy/scale/virtual/Tally.java
@@ -1,11 +1,11 @@
 package holdproxy.scale.virtual;
 
-import java.util.function.IntUnaryOperator;
+import java.util.function.ToIntFunction;
 
-/** What became of requests, by group of tenants and by the moment at which they were asked. */
+/** What became of requests, by group and by the moment at which they were asked. */
 final class Tally implements Clients.Ledger {
     private final long binUs;
-    private final IntUnaryOperator groupOfTenant;
+    private final ToIntFunction<ClientRequest> group;
     private final long[] aims;
     final long[][] asked;
     final long[][] refused;
@@ -13,8 +13,8 @@
     final long[][] late;
     final long[][] lost;
 
-    Tally(int groups, IntUnaryOperator groupOfTenant, long[] aims, long binUs, double seconds) {
-        this.groupOfTenant = groupOfTenant;
+    Tally(int groups, ToIntFunction<ClientRequest> group, long[] aims, long binUs, double seconds) {
+        this.group = group;
         this.aims = aims;
         this.binUs = binUs;
         int bins = (int) (seconds * 1e6 / binUs) + 1;
@@ -27,7 +27,7 @@
 
     private void count(long[][] of, ClientRequest q) {
         int bin = (int) Math.min(q.askedUs / binUs, of[0].length - 1);
-        of[groupOfTenant.applyAsInt(q.tenant)][bin]++;
+        of[group.applyAsInt(q)][bin]++;
     }
 
     @Override
--- a/src/scale/java/holdproxy/scale/virtual/TenantFairness.java
+++ b/src/scale/java/holdproxy/scale/virtual/TenantFairness.java
@@ -51,7 +51,8 @@
         double afterS = p.number("afterS", 0);
         double endS = restartS + afterS;
         long[] aims = Arrays.stream(site.settings(0, quotas).classes).mapToLong(c -> c.aimUs).toArray();
-        Tally tally = new Tally(3, t -> t == 0 ? HEAVY : t == tenants ? LOCAL : LIGHT, aims, 100_000, endS + 4);
+        Tally tally = new Tally(3, q -> q.tenant == 0 ? HEAVY : q.tenant == tenants ? LOCAL : LIGHT, aims, 100_000,
+            endS + 4);
         World w = new World(site, seed, quotas, tally);
         int heavyProxies = p.count("heavyProxies", 0);
         int spread = heavyProxies > 0 ? Math.min(heavyProxies, site.proxies) : site.proxies;
--- a/src/scale/java/holdproxy/scale/virtual/World.java
+++ b/src/scale/java/holdproxy/scale/virtual/World.java
@@ -71,6 +71,14 @@
         p.start(seeds.nextLong());
     }
 
+    /** A region hears none of the others any more, or does again. */
+    void cut(int region, boolean off) {
+        network.cut(region, off);
+        if (off) {
+            registry.cut(region);
+        }
+    }
+
     /** Cache nodes stop; the list says so at once where it is known, else they just answer nothing. */
     void stopNodes(CacheNode... stopped) {
         for (CacheNode node : stopped) {
--- a/src/scale/test/java/holdproxy/scale/virtual/VirtualExperimentsTest.java
+++ b/src/scale/test/java/holdproxy/scale/virtual/VirtualExperimentsTest.java
@@ -70,6 +70,24 @@
         assertTrue(value(m, "loss.calls") >= 40, m.toString());
     }
 
+    @Test
+    void aRegionIsCutOffAndTheSameSeedRepeatsIt() throws Exception {
+        Map<String, Measurement> m = repeated(new RegionCut(), Map.of("proxies", 12.0, "nodes", 12.0,
+            "requestsPerS", 1200.0, "regions", 2.0, "zones", 2.0, "cutS", 4.0, "afterS", 4.0));
+        assertEquals(0, value(m, "unanswered"));
+        assertTrue(value(m, "calm.inside.inTime") > 0.99, m.toString());
+        assertTrue(value(m, "cut.inside.inTime") < value(m, "calm.inside.inTime"), m.toString());
+    }
+
+    @Test
+    void proxiesRestartTogetherAndTheSameSeedRepeatsIt() throws Exception {
+        Map<String, Measurement> m = repeated(new RestartStorm(), Map.of("proxies", 12.0, "nodes", 6.0,
+            "requestsPerS", 1200.0, "restarted", 1.0, "afterS", 10.0));
+        assertEquals(0, value(m, "unanswered"));
+        assertEquals(0, value(m, "told.none"));
+        assertTrue(value(m, "storm.handshakesPerS") > 0, m.toString());
+    }
+
     @Test
     void aDecisionAndItsMemoryAreMeasured() throws Exception {
         Map<String, Measurement> m = run(new DecisionCost(), 1, Map.of("nodes", 10.0, "decisions", 2000.0,
