Tenants at few proxies are followed through restarts and lost messages

Change: the tenants' experiment counts it after the restart too, and the messages' loss and delay are inputs; decision-cost names what differs from a real proxy.

--- a/src/scale/java/holdproxy/scale/virtual/DecisionCost.java
+++ b/src/scale/java/holdproxy/scale/virtual/DecisionCost.java
@@ -8,6 +8,7 @@
 import holdproxy.scale.Scenario;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
@@ -38,6 +39,13 @@
         return inputs;
     }
 
+    @Override
+    public List<String> differences() {
+        return List.of("the proxies run with the first compiler alone (-XX:TieredStopAtLevel=1): a run to be set "
+            + "beside theirs needs JAVA_TOOL_OPTIONS=-XX:TieredStopAtLevel=1",
+            "one module on one thread with warm caches; no data path, no timers, no clock readings");
+    }
+
     /** Does nothing but keep what the module sent last. */
     private static final class Sink implements Router.Actions {
         int node = -1;
--- a/src/scale/java/holdproxy/scale/virtual/RegionCut.java
+++ b/src/scale/java/holdproxy/scale/virtual/RegionCut.java
@@ -53,6 +53,7 @@
             out.put("after." + where + ".refused", tally.share(tally.refused, g, healS, endS), "share");
             out.put("after." + where + ".inTimeLast", tally.share(tally.inTime, g, endS - 2, endS), "share");
         }
+        out.put("peers.bytesPerSEach", w.peerBytesPerSEach(), "B/s");
         out.put("unanswered", Arrays.stream(w.proxies).mapToLong(x -> x.unanswered).sum(), "requests");
         out.put("events", w.clock.ran(), "events");
     }
--- a/src/scale/java/holdproxy/scale/virtual/TenantFairness.java
+++ b/src/scale/java/holdproxy/scale/virtual/TenantFairness.java
@@ -90,6 +90,11 @@
         if (local > 0) {
             out.put("local.inTime", tally.share(tally.inTime, LOCAL, calmS, restartS), "share");
             out.put("local.refused", tally.share(tally.refused, LOCAL, calmS, restartS), "share");
+            out.put("local.refusedLast", tally.share(tally.refused, LOCAL, restartS - 3, restartS), "share");
+            if (afterS > 0) {
+                out.put("restart.local.inTime", tally.share(tally.inTime, LOCAL, restartS, endS), "share");
+                out.put("restart.local.refused", tally.share(tally.refused, LOCAL, restartS, endS), "share");
+            }
         }
         out.put("peers.bytesPerSEach", w.peerBytesPerSEach(), "B/s");
         out.put("unanswered", Arrays.stream(w.proxies).mapToLong(x -> x.unanswered).sum(), "requests");
--- a/src/scale/java/holdproxy/scale/virtual/VirtualExperiment.java
+++ b/src/scale/java/holdproxy/scale/virtual/VirtualExperiment.java
@@ -32,6 +32,8 @@
         input("zones", "zones (" + usual.zones + ")");
         input("otherRegionUs", "one way between regions, microseconds (" + (long) usual.otherRegionUs + ")");
         input("listSpreadMs", "a change reaches the proxies within this of each other (1000)");
+        input("peerLoss", "share of the messages between proxies that are lost (" + usual.peerLoss + ")");
+        input("peerDelayMs", "what they take, milliseconds (" + (long) usual.peerUs / 1000 + ")");
         input("callsPerS", "calls that discovery answers a second (" + (long) usual.callsPerS + ")");
     }
 
@@ -70,6 +72,8 @@
         s.zones = Math.max(s.regions, p.count("zones", s.zones));
         s.otherRegionUs = p.number("otherRegionUs", s.otherRegionUs);
         s.listSpreadUs = p.number("listSpreadMs", s.listSpreadUs / 1000) * 1000;
+        s.peerLoss = p.number("peerLoss", s.peerLoss);
+        s.peerUs = p.number("peerDelayMs", s.peerUs / 1000) * 1000;
         s.callsPerS = p.number("callsPerS", s.callsPerS);
         return s;
     }
