--- a/src/scale/java/holdproxy/scale/Experiments.java
+++ b/src/scale/java/holdproxy/scale/Experiments.java
@@ -2,6 +2,7 @@
 
 import holdproxy.scale.real.ControlExperiment;
 import holdproxy.scale.real.ListExperiment;
+import holdproxy.scale.virtual.VirtualExperiments;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,6 +16,7 @@
         List<Experiment> all = new ArrayList<>();
         all.add(new ControlExperiment());
         all.add(new ListExperiment());
+        all.addAll(VirtualExperiments.all());
         all.forEach(e -> BY_NAME.put(e.name(), e));
     }
 
