--- a/src/scale/java/holdproxy/scale/Result.java
+++ b/src/scale/java/holdproxy/scale/Result.java
@@ -43,6 +43,15 @@
         return new Result(scenario.name(), seed, points, fits, differences);
     }
 
+    /** Measurements that the scenario wants fitted and no point has; empty while none is measured. */
+    List<String> missing(Scenario scenario) {
+        return scenario.sweeps().stream().flatMap(s -> s.fits().stream()
+            .filter(l -> points.stream().anyMatch(m -> m.experiment.equals(s.experiment())))
+            .filter(l -> points.stream().noneMatch(m -> m.experiment.equals(s.experiment())
+                && m.measured.containsKey(l.y())))
+            .map(l -> s.experiment() + " measures no '" + l.y() + "'")).toList();
+    }
+
     private static List<Fit> fits(Scenario.Sweep sweep, Scenario.Line line, List<Measured> points) {
         List<String> along = List.of(line.x().split("\\*"));
         Map<Map<String, Double>, List<double[]>> lines = new LinkedHashMap<>();
@@ -50,8 +59,7 @@
         for (Measured m : points) {
             Measurement y = m.measured().get(line.y());
             if (y == null) {
-                throw new ScaleException(sweep.experiment() + " measures no '" + line.y() + "'; it measures "
-                    + m.measured().keySet());
+                continue;
             }
             unit = y.unit();
             Map<String, Double> others = new LinkedHashMap<>(m.sizes());
--- a/src/scale/java/holdproxy/scale/Scale.java
+++ b/src/scale/java/holdproxy/scale/Scale.java
@@ -131,7 +131,12 @@
                 Result.of(s, seed, done).write(folder);
             }
         }
-        finish(Result.of(s, seed, done), folder, left);
+        Result result = Result.of(s, seed, done);
+        finish(result, folder, left);
+        List<String> missing = result.missing(s);
+        if (!missing.isEmpty()) {
+            throw new ScaleException("the scenario " + scenario + ": " + String.join("; ", missing));
+        }
     }
 
     private void finish(Result result, Path folder, int left) throws IOException {
