--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -288,7 +288,7 @@
         }
     }
 
-    /** Gives up its answers: their bytes no longer count, though the channel lets go of some a moment later. */
+    /** Gives up its answers: their bytes count no more, though the channel lets go of some a moment later. */
     void drop() {
         proxy.untaken(-untakenBytes);
         untakenBytes = 0;
