A burst of new clients is let in for those that have rested 2 s

At the bound on client connections a new one took the place of an idle one only where no other new one was waiting to be read: of a burst the first was let in and the others were told busy, though 32 of 40 places were held by clients that rested. Now one that has rested 2 s, after which it may be closed, goes also then. A flood that says nothing still pushes out none that rested less.

Test: 32 clients rest for over 2 s, then 15 come in one pass of the loop.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -22,12 +22,12 @@
     private static final long HALF_SAID_US = 2_000_000;
     /** What a new connection brings along is read within this, also where no other connection comes. */
     private static final long UNREAD_US = 300_000;
-    /** A connection between requests may go after 2 s; most clients come back within these. */
+    /** Where there is room a connection between requests stays so long: most clients come back within these. */
     private static final long IDLE_US = 10_000_000;
     /** Where clients are short of connections, one that waits for a request gets it sooner than this. */
     private static final long STAYS_US = 80_000;
-    /** There, one that has come back is spared no longer than it may be; until then it is likely to again. */
-    private static final long COMES_BACK_US = 2_000_000;
+    /** A connection may be closed once it has rested so long; until then a client is likely to come back. */
+    private static final long RESTED_US = 2_000_000;
     private static final long SWEEP_MS = 200;
 
     private final Proxy proxy;
@@ -73,11 +73,17 @@
 
     /**
      * Between requests a connection may be closed; those that never asked for anything go first, but not
-     * before they were read: in a burst each would end the one before it, whose request is unread.
+     * before they were read: in a burst each would end the one before it, whose request is unread. Where it
+     * is a flood that says nothing, one that has asked does not go before it has rested long.
      */
     private boolean makeRoom() {
         ClientSession s = first(strangers);
-        s = s == null ? leastMissed() : surelyRead(s) ? s : null;
+        if (s == null) {
+            s = leastMissed();
+        } else if (!surelyRead(s)) {
+            s = first(idle);
+            s = s != null && proxy.now() - s.idleUs > RESTED_US ? s : null;
+        }
         if (s == null) {
             return false;
         }
@@ -141,7 +147,7 @@
     private void trim() {
         trimming = false;
         trim(askedOnce, STAYS_US);
-        trim(idle, COMES_BACK_US);
+        trim(idle, RESTED_US);
     }
 
     private void trim(Set<ClientSession> longestIdleFirst, long staysUs) {
--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -161,6 +161,37 @@
         }
     }
 
+    /** Danger: of several that came together one was let in for a resting client, and the others turned away. */
+    @Test
+    void allOfABurstAreLetInWhereClientsHaveRestedLong() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s, 128)) { // 40 of them are for clients
+            for (int i = 0; i < 32; i++) {
+                Peer p = f.client();
+                greeted(p);
+                greeted(p);
+            }
+            f.client().expectEnd(); // it says nothing, and ends after 2 s: the others have rested longer
+            CountDownLatch connected = new CountDownLatch(1);
+            f.loop.execute(() -> {
+                try {
+                    connected.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            List<Peer> burst = new ArrayList<>();
+            for (int i = 0; i < 15; i++) { // so many are taken up in one pass of the loop
+                Peer p = f.client();
+                p.send("mn\r\n");
+                burst.add(p);
+            }
+            connected.countDown();
+            for (Peer p : burst) {
+                p.expect("MN");
+            }
+        }
+    }
+
     /** Danger: a connection closed for room in the middle of a read loses what the decoder still has of it. */
     @Test
     void commandsReadTogetherAreAllAnsweredAlsoWhereRoomIsMade() throws Exception {
