--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -5,6 +5,8 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 /** Command line: {@code serve} runs the real proxy, {@code simhost} the module on the simulator's wire. */
 public final class Main {
@@ -26,12 +28,29 @@
     private static void serve() {
         try {
             Proxy.serve(System.getenv());
+            if (!archiveUsed()) {
+                System.err.println("holdproxy: the class archive is not used: this start took longer");
+            }
         } catch (BadInput e) {
             System.err.println("holdproxy: " + e.getMessage());
             Runtime.getRuntime().halt(2); // there is nothing to drain
         }
     }
 
+    /** Whether the JVM has mapped a class archive besides its own (classes.jsa); true where that can't be seen. */
+    private static boolean archiveUsed() {
+        try {
+            for (String mapping : Files.readAllLines(Path.of("/proc/self/maps"))) {
+                if (mapping.endsWith(".jsa") && !mapping.contains("/classes")) {
+                    return true;
+                }
+            }
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     private static void simhost() {
         try {
             FileInputStream in = new FileInputStream(FileDescriptor.in);
--- a/src/test/java/holdproxy/net/StartTest.java
+++ b/src/test/java/holdproxy/net/StartTest.java
@@ -56,6 +56,29 @@
         assertEquals(0, proxy.exitValue());
     }
 
+    /** Danger: where the class archive was lost, in a copied checkout, only a line of the JVM's told so. */
+    @Test
+    void aStartWithoutItsClassArchiveSaysSo() throws Exception {
+        InetSocketAddress listen = freeAddress();
+        Process proxy = start(listen);
+        try {
+            assertEquals("MN", greeting(proxy, listen));
+            said(proxy, "holdproxy: the class archive is not used: this start took longer");
+        } finally {
+            proxy.destroy();
+            assertTrue(proxy.waitFor(30, TimeUnit.SECONDS));
+        }
+    }
+
+    /** Waits for a line of the program's. */
+    private void said(Process proxy, String line) throws IOException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!Files.readAllLines(folder.resolve("log")).contains(line)) {
+            assertTrue(proxy.isAlive() && System.nanoTime() < end, "not said: " + line);
+            Thread.onSpinWait();
+        }
+    }
+
     private Process start(InetSocketAddress listen) throws IOException {
         Path config = folder.resolve("config.json");
         Files.writeString(config, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
