The cold ramp of the most popular nodes, with proxies that restart

Cause: evenly chosen nodes and proxies that count are the easy case. Change: the nodes that got most, keys without an offset and a share of the proxies restarting are inputs.

--- a/src/scale/java/holdproxy/scale/virtual/ColdRamp.java
+++ b/src/scale/java/holdproxy/scale/virtual/ColdRamp.java
@@ -3,6 +3,7 @@
 import holdproxy.scale.Progress;
 import holdproxy.scale.Scenario;
 import java.util.Arrays;
+import java.util.Comparator;
 
 /** Cache nodes come back cold: the worst window of work at one of them against what the rule allows. */
 final class ColdRamp extends VirtualExperiment {
@@ -13,6 +14,8 @@
         input("restarted", "share of the cache nodes that stop and come back cold; at least one does (0.1)");
         input("downS", "seconds until they are back; 0: at once, unknown to the proxies for a while (3)");
         input("burst", "requests from their return on, as a multiple (1)");
+        input("hottest", "1: the nodes that got most before, 0: evenly chosen (0)");
+        input("proxiesRestarted", "share of the proxies that restart as the first node comes back (0)");
         input("withinS", "they come back within this time of each other, seconds (0)");
     }
 
@@ -32,8 +35,12 @@
         w.run(CALM_S);
         int count = (int) Math.max(1, Math.round(p.number("restarted", 0.1) * site.nodes));
         CacheNode[] some = new CacheNode[count];
+        CacheNode[] sorted = w.nodes.clone();
+        if (p.number("hottest", 0) > 0) {
+            Arrays.sort(sorted, Comparator.comparingLong((CacheNode n) -> -n.requests).thenComparingInt(n -> n.id));
+        }
         for (int i = 0; i < count; i++) {
-            some[i] = w.nodes[(int) ((long) i * site.nodes / count)];
+            some[i] = sorted[p.number("hottest", 0) > 0 ? i : (int) ((long) i * site.nodes / count)];
         }
         if (downS > 0) {
             w.stopNodes(some);
@@ -46,6 +53,7 @@
             }
             w.startNodes(some[i]);
             if (i == 0) {
+                restartProxies(w, p.number("proxiesRestarted", 0));
                 w.clients.rate(all, site.requestsPerS * p.number("burst", 1));
             }
         }
@@ -69,4 +77,11 @@
         out.put("peers.bytesPerSEach", w.peerBytesPerSEach(), "B/s");
         out.put("events", w.clock.ran(), "events");
     }
+
+    private static void restartProxies(World w, double share) {
+        int count = (int) Math.round(share * w.proxies.length);
+        for (int i = 0; i < count; i++) {
+            w.restart(w.proxies[(int) ((long) i * w.proxies.length / count)]);
+        }
+    }
 }
--- a/src/scale/java/holdproxy/scale/virtual/VirtualExperiment.java
+++ b/src/scale/java/holdproxy/scale/virtual/VirtualExperiment.java
@@ -28,6 +28,7 @@
         input("nodeCores", "cores of a cache node before thinning (" + usual.cores + ")");
         input("load", "share of the nodes' capacity taken while all is well (0.62 at 5783 requests a second a node)");
         input("zipf", "exponent of the keys' popularity (" + usual.zipf + ")");
+        input("zipfOffset", "added to a key's rank, Zipf-Mandelbrot (" + (long) usual.zipfOffset + ")");
         input("regions", "regions (" + usual.regions + ")");
         input("zones", "zones (" + usual.zones + ")");
         input("otherRegionUs", "one way between regions, microseconds (" + (long) usual.otherRegionUs + ")");
@@ -68,6 +69,7 @@
         s.requestsPerS = perS / thin;
         s.cores = (int) Math.max(1, Math.round(cores / thin));
         s.zipf = p.number("zipf", s.zipf);
+        s.zipfOffset = p.number("zipfOffset", s.zipfOffset);
         s.regions = p.count("regions", s.regions);
         s.zones = Math.max(s.regions, p.count("zones", s.zones));
         s.otherRegionUs = p.number("otherRegionUs", s.otherRegionUs);
