--- a/src/scale/java/holdproxy/scale/real/StandInDiscovery.java
+++ b/src/scale/java/holdproxy/scale/real/StandInDiscovery.java
@@ -31,7 +31,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -99,8 +98,20 @@
 
     /** Publishes a change and has every open watch told in turn. */
     NodeList.Version publish(List<NodeList.Entry> changed) {
+        return publish(changed, false);
+    }
+
+    /** The same, but each watch is told the whole list. */
+    NodeList.Version publishWhole(List<NodeList.Entry> changed) {
+        return publish(changed, true);
+    }
+
+    private NodeList.Version publish(List<NodeList.Entry> changed, boolean whole) {
         return on(() -> {
             NodeList.Version v = list.publish(changed);
+            if (whole) {
+                list.forgetChanges();
+            }
             doors.forEach(d -> List.copyOf(d.callers).forEach(Caller::tell));
             return v;
         });
@@ -184,8 +195,9 @@
         private long bytes;
         private long lines;
         private long failed;
-        private long[] callTimes = new long[64];
-        private int calls;
+        private long calls;
+        private final Events callTimes = new Events();
+        private final Events lineTimes = new Events();
 
         Door(BiConsumer<Door, NodeList.Version> written) {
             this.written = written;
@@ -218,13 +230,19 @@
             return on(() -> new Traffic(calls, bytes, lines, failed));
         }
 
-        /** Arrivals of calls from the {@code first} on, by {@link System#nanoTime()}. */
-        long[] callTimes(long first) {
-            return on(() -> Arrays.copyOfRange(callTimes, (int) first, calls));
+        /** Calls that have come since a moment. */
+        List<long[]> callsSince(long fromNs) {
+            return on(() -> callTimes.since(fromNs));
+        }
+
+        /** Lists sent since a moment, each counted with its lines. */
+        List<long[]> linesSince(long fromNs) {
+            return on(() -> lineTimes.since(fromNs));
         }
 
-        int watches() {
-            return on(() -> (int) callers.stream().filter(c -> c.watch).count());
+        private void sent(NodeList.Text text) {
+            lines += text.lines();
+            lineTimes.add(text.lines());
         }
 
         /** Ends the oldest watch here, as its proxy's end would. */
@@ -349,10 +367,8 @@
             if (!(message instanceof HttpRequest call) || door.cut || ended) {
                 return;
             }
-            if (door.calls == door.callTimes.length) {
-                door.callTimes = Arrays.copyOf(door.callTimes, 2 * door.calls);
-            }
-            door.callTimes[door.calls++] = System.nanoTime();
+            door.calls++;
+            door.callTimes.add(1);
             QueryStringDecoder query = new QueryStringDecoder(call.uri());
             if (!query.path().equals(PATH)) {
                 answer(HttpResponseStatus.NOT_FOUND, new byte[0]);
@@ -385,7 +401,7 @@
                         beginWatch(index);
                     } else if (passes()) {
                         NodeList.Text whole = list.whole();
-                        door.lines += whole.lines();
+                        door.sent(whole);
                         answer(HttpResponseStatus.OK, whole.bytes());
                     }
                 }, turn(lines), TimeUnit.NANOSECONDS);
@@ -441,7 +457,7 @@
         }
 
         private void send(NodeList.Text text) {
-            door.lines += text.lines();
+            door.sent(text);
             NodeList.Version v = list.latest();
             version = v.number();
             context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(text.bytes())))
