--- a/src/scale/java/holdproxy/scale/virtual/DecisionCost.java
+++ b/src/scale/java/holdproxy/scale/virtual/DecisionCost.java
@@ -41,8 +41,7 @@
 
     @Override
     public List<String> differences() {
-        return List.of("the proxies run with the first compiler alone (-XX:TieredStopAtLevel=1): a run to be set "
-            + "beside theirs needs JAVA_TOOL_OPTIONS=-XX:TieredStopAtLevel=1",
+        return List.of("as deployed only with the deploy file's compiler flags, as deploy/scale sets them",
             "one module on one thread with warm caches; no data path, no timers, no clock readings");
     }
 
