decision-cost counts what a module tells others, and what hearing it costs

Change: a minute of requests with timers; messages a second, their bytes, and the time of one heard by another module.

--- a/src/scale/java/holdproxy/scale/virtual/DecisionCost.java
+++ b/src/scale/java/holdproxy/scale/virtual/DecisionCost.java
@@ -6,10 +6,12 @@
 import holdproxy.scale.Measurement;
 import holdproxy.scale.Progress;
 import holdproxy.scale.Scenario;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
 /** Processor time and memory of one decision module, in real time, on one thread and a warm machine. */
@@ -45,9 +47,13 @@
             "one module on one thread with warm caches; no data path, no timers, no clock readings");
     }
 
-    /** Does nothing but keep what the module sent last. */
+    /** Does nothing but keep where the module sent last, its timers where wanted, and what it told others. */
     private static final class Sink implements Router.Actions {
         int node = -1;
+        long now;
+        /** Due time and label; null: timers are not kept. */
+        PriorityQueue<long[]> timers;
+        final List<byte[]> told = new ArrayList<>();
 
         @Override
         public void send(long request, int to, long timeoutUs) {
@@ -68,6 +74,9 @@
 
         @Override
         public void timer(long delayUs, long label) {
+            if (timers != null) {
+                timers.add(new long[] {now + delayUs, label});
+            }
         }
 
         @Override
@@ -88,6 +97,9 @@
 
         @Override
         public void tell(int router, byte[] data) {
+            if (timers != null) {
+                told.add(data.clone());
+            }
         }
 
         @Override
@@ -119,6 +131,7 @@
         out.put("decision.share", us[ROUNDS / 2] * 657.5 / 1e6, "cores");
         out.put("list", lists(settings, list, list, seed), "us");
         out.put("delta", lists(settings, list, new Router.Node[] {list[0]}, seed), "us");
+        messages(settings, list, seed, out);
         memory(settings, list, seed, point.count("inFlight", 0), out);
         progress.step("measured");
         return out.all();
@@ -192,6 +205,47 @@
         return us[us.length / 2];
     }
 
+    /** A minute of requests with the module's timers; what it tells others is then told to another module. */
+    private static void messages(Router.Settings settings, Router.Node[] list, long seed, Values out) {
+        Sink sink = new Sink();
+        sink.timers = new PriorityQueue<>((a, b) -> Long.compare(a[0], b[0]));
+        RoutingPolicy p = module(settings, list, seed, sink);
+        Router.Request q = new Router.Request();
+        Router.Report nothing = new Router.Report();
+        long interval = (long) (1e6 / VirtualExperiment.PER_PROXY);
+        int count = (int) (60_000_000 / interval);
+        for (int i = 0; i < count; i++) {
+            sink.now = i * interval;
+            while (!sink.timers.isEmpty() && sink.timers.peek()[0] <= sink.now) {
+                p.onTimer(sink.now, sink.timers.poll()[1], sink);
+            }
+            q.id = i;
+            q.key = i * 0x9e3779b97f4a7c15L | 1;
+            q.tenant = i % settings.tenants.length;
+            q.dueUs = sink.now + 1_500_000;
+            sink.node = -1;
+            p.onRequest(sink.now, q, sink);
+            if (sink.node != -1) {
+                p.onOutcome(sink.now, i, 0, Router.Outcome.OK, 5000, true, Router.CacheNote.HIT, nothing, sink);
+            }
+        }
+        out.put("told.perS", sink.told.size() / 60.0, "1/s");
+        out.put("told.bytes", sink.told.stream().mapToInt(m -> m.length).average().orElse(0), "B");
+        if (!sink.told.isEmpty()) {
+            RoutingPolicy other = module(settings, list, seed + 1, new Sink());
+            Sink quiet = new Sink();
+            double[] us = new double[20_000];
+            for (int i = 0; i < 2 * us.length; i++) {
+                byte[] message = sink.told.get(i % sink.told.size());
+                long began = System.nanoTime();
+                other.onTold(sink.now + i, 1 + i % Math.max(1, settings.routers - 1), message, quiet);
+                us[i % us.length] = (System.nanoTime() - began) / 1000.0;
+            }
+            Arrays.sort(us);
+            out.put("told.heard", us[us.length / 2], "us");
+        }
+    }
+
     private static void memory(Router.Settings settings, Router.Node[] list, long seed, int inFlight, Values out) {
         Sink sink = new Sink();
         RoutingPolicy[] modules = new RoutingPolicy[MODULES];
