--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -37,7 +37,7 @@
         }
     }
 
-    /** Whether the JVM has mapped a class archive besides its own (classes.jsa); true where that can't be seen. */
+    /** Whether the JVM has mapped a class archive besides its own; true where that can't be seen. */
     private static boolean archiveUsed() {
         try {
             for (String mapping : Files.readAllLines(Path.of("/proc/self/maps"))) {
--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -22,7 +22,7 @@
     private static final long HALF_SAID_US = 2_000_000;
     /** What a new connection brings along is read within this, also where no other connection comes. */
     private static final long UNREAD_US = 300_000;
-    /** Where there is room a connection between requests stays so long: most clients come back within these. */
+    /** Where there is room a connection between requests stays so long: most clients come back sooner. */
     private static final long IDLE_US = 10_000_000;
     /** Where clients are short of connections, one that waits for a request gets it sooner than this. */
     private static final long STAYS_US = 80_000;
@@ -146,7 +146,7 @@
         return all.size() - strangers.size() - leaving.size() > mostKnown;
     }
 
-    /** Those that have come back are spared longer: a new connection for each request costs more than it frees. */
+    /** Those that have come back are spared longer: a connection for each request costs more than it frees. */
     private void trim() {
         trimming = false;
         trim(askedOnce, STAYS_US);
