--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -146,7 +146,7 @@
         return all.size() - strangers.size() - leaving.size() > mostKnown;
     }
 
-    /** Those that have come back are spared longer: a connection for each request costs more than it frees. */
+    /** Those that have come back stay longer: a connection for each request costs more than it frees. */
     private void trim() {
         trimming = false;
         trim(askedOnce, STAYS_US);
