A level of the tenants' tables has a bucket for each tenant

Cause: 64 buckets a level whatever the number of tenants. Change: the power of two that holds the settings' tenants, 64 to 16,384. Where h tenants fail, a further one shares all its three buckets with some of them by chance (h / buckets)^3 at most; 36 bytes a bucket in each of two tables: 0.3 MB a proxy at 3,000 tenants, as much as their rates take, 1.2 MB at most. Test: 100 of 3,000 tenants fail; of the 2,900 others 1,235 were refused at 64 buckets, now fewer than 29. MechanismTest, ModuleLimitsTest, RulesTest and FleetTest are green.

--- a/src/main/java/holdproxy/RoutingPolicy.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -9,9 +9,12 @@
  * Scale" (M. Sathe), with two hashed candidates per key. The comments name what departs from it and when.
  */
 public final class RoutingPolicy implements Router {
-    // FAIR: levels x buckets. Two tenants share all buckets with chance 64^-3; two tables are 5 KB a proxy.
+    // FAIR: levels x buckets, as many as there are tenants: where h of them fail, another shares all its
+    // buckets with some of these by chance (h / buckets)^3 at most. 36 bytes a bucket in each of two tables:
+    // 5 KB at up to 64 tenants, 0.3 MB at 3,000 (about what their rates take), 1.2 MB at most.
     static final int LEVELS = 3;
-    static final int BUCKETS = 64;
+    static final int BUCKETS_LEAST = 64;
+    static final int BUCKETS_MOST = 1 << 14;
     // FAIR: failures running take a chance from 0 to 1; a success takes back a hundredth of one. A step
     // follows the tenant's rate (EVIDENCE_S) down to this: held at 0.04, 1% of failures at 100 requests a
     // second outran the fading and filled a bucket.
@@ -149,8 +152,9 @@
         attemptsMost = Math.min(ATTEMPTS_MOST, settings.maxAttempts);
         random = new Random(seed);
         startedAt = nowUs;
-        live = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
-        shadow = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
+        int buckets = buckets(settings.tenants.length);
+        live = new Blue(LEVELS, buckets, TENANT_FADE_US, random.next());
+        shadow = new Blue(LEVELS, buckets, TENANT_FADE_US, random.next());
         hotKeys = new Blue(LEVELS, HOT_KEY_BUCKETS, HOT_KEY_US, random.next());
         rotateAt = nowUs + (long) (ROTATE_US * (0.5 + 0.5 * random.unit()));
         fleet = new Fleet(settings);
@@ -165,6 +169,12 @@
         }
     }
 
+    /** The power of two that holds so many tenants. */
+    static int buckets(int tenants) {
+        int wanted = Math.max(BUCKETS_LEAST, Math.min(BUCKETS_MOST, tenants));
+        return Integer.highestOneBit(2 * wanted - 1);
+    }
+
     // ---- the node list ----
 
     @Override
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -63,6 +63,43 @@
         assertEquals(before, out.refused.size());
     }
 
+    /** At 64 buckets a level 100 failing tenants filled all three of half the others. */
+    @Test
+    void thousandsOfTenantsAreNotRefusedForSomeThatFail() {
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.tenants = new Router.Tenant[3000];
+        java.util.Arrays.setAll(s.tenants, i -> new Router.Tenant());
+        RoutingPolicy p = out.choice(s, 1, Fixture.nodes(8));
+        for (int i = 0; i < 4000; i++) {
+            Router.Request q = Fixture.request(i, 1000 + i, S);
+            q.tenant = i % 100;
+            int before = out.sent.size();
+            p.onRequest(i * 100, q, out);
+            if (out.sent.size() > before) {
+                out.outcome(p, i * 100, i, 0, Router.Outcome.TIMEOUT);
+            }
+        }
+        int failing = out.refused.size();
+        int others = 0;
+        for (int i = 100; i < 3000; i++) {
+            Router.Request q = Fixture.request(10_000 + i, 10_000 + i, 2 * S);
+            q.tenant = i;
+            p.onRequest(S, q, out);
+            others += out.refused.contains(q.id) ? 1 : 0;
+        }
+        assertTrue(failing > 400, "those that fail are refused: " + failing);
+        assertTrue(others < 29, "a hundredth of the others at most, not " + others + " of 2,900");
+    }
+
+    @Test
+    void theTablesOfTenantsGrowWithTheirNumberAndAreBounded() {
+        assertEquals(64, RoutingPolicy.buckets(0));
+        assertEquals(64, RoutingPolicy.buckets(64));
+        assertEquals(128, RoutingPolicy.buckets(65));
+        assertEquals(4096, RoutingPolicy.buckets(3000));
+        assertEquals(16_384, RoutingPolicy.buckets(100_000));
+    }
+
     @Test
     void rotationKeepsWhatTheShadowHasLearnt() {
         Router.Settings s = Fixture.settings(Router.Effect.SAFE);
