--- a/src/main/java/holdproxy/RoutingPolicy.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -129,6 +129,7 @@
     private final double leastWorth;
     private double meanChance;
     private double meanRatio = 1;
+    private double meanAlone = 1;
     private double consecutiveFailures;
     private long reportAt = Long.MIN_VALUE;
     private final DecayingValue all = new DecayingValue(RATE_US);
@@ -233,7 +234,8 @@
         if (!q.repeat) {
             asked[tenant].count(now); // what clients repeat after a refusal is not more demand
         }
-        meanRatio += (quotaRatio(tenant, now) - meanRatio) * RATIO_LEARN;
+        meanRatio += (quotaRatio(tenant, now, true) - meanRatio) * RATIO_LEARN;
+        meanAlone += (quotaRatio(tenant, now, false) - meanAlone) * RATIO_LEARN;
         all.count(now);
         double chance = live.min(tenant, now);
         if (chance > 0 && random.unit() < chance) {
@@ -632,7 +634,7 @@
             shadow.fadeIn(fade);
             // blame: the origin's failures are its own first; so are a node's that fails more than others do,
             // but for tenants that run over their quota more than others do
-            boolean over = quotaRatio(r.tenant, now) > meanRatio;
+            boolean over = quotaRatio(r.tenant, now, true) > meanAlone;
             double known = fromOrigin || fetched ? originChance.get(now)
                     : over ? 0 : t.chance.get(now) - meanChance;
             double share = 1 - Math.max(0, known);
@@ -682,18 +684,18 @@
      * the mean request here, so that within one proxy those beyond their quota are refused first.
      */
     private double overQuota(int tenant, long now) {
-        double ratio = quotaRatio(tenant, now) / Math.max(1e-3, meanRatio);
-        double demand = Math.min(1, meanRatio);
+        double ratio = quotaRatio(tenant, now, true) / Math.max(1e-3, meanAlone);
+        double demand = Math.min(1, meanAlone);
         double certain = Math.min(CONSECUTIVE_MOST, consecutiveFailures / CONSECUTIVE_TELLS);
         return Math.min(QUOTA_MOST, ratio * ratio) * Math.max(demand * demand, certain);
     }
 
-    private double quotaRatio(int tenant, long now) {
+    private double quotaRatio(int tenant, long now, boolean told) {
         if (tenant >= set.tenants.length || set.tenants[tenant].quotaPerS <= 0) {
             return 1;
         }
         double count = asked[tenant].get(now);
-        double due = tenantRates.due(tenant, count / countedUs(now) * 1e6) * RATE_US / 1e6;
+        double due = tenantRates.due(tenant, told ? count / countedUs(now) * 1e6 : 0) * RATE_US / 1e6;
         return (count + QUOTA_DOUBT) / (due + QUOTA_DOUBT);
     }
 
