Half a line on a resting connection to a cache node ends it

Change: such bytes belong to nothing, and the connection is closed when the read that brought them is over.

The test has the half line read before the request comes.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -171,8 +171,10 @@
             }
         }
         stopStall();
-        if (partial && !closed) {
-            stall = pool.pools.after(line.isEmpty() ? MOST_STALL_US : stallUs(pool.pools.aimUs(line.peek())),
+        if (partial && !closed && line.isEmpty()) {
+            close(); // it belongs to nothing, and the next answer would be read as the rest of it
+        } else if (partial && !closed) {
+            stall = pool.pools.after(stallUs(pool.pools.aimUs(line.peek())),
                 () -> spoilt("an answer that does not end"));
         }
         ctx.fireChannelReadComplete();
--- a/src/test/java/holdproxy/net/SpoiltAnswersTest.java
+++ b/src/test/java/holdproxy/net/SpoiltAnswersTest.java
@@ -119,6 +119,145 @@
         }
     }
 
+    /** How a cache node ends a connection in the middle of an answer. */
+    private enum Cut {
+        END, RESET;
+
+        void of(Peer node) throws Exception {
+            if (this == RESET) {
+                node.reset();
+            } else {
+                node.close();
+            }
+        }
+    }
+
+    /** Returns once the loop has read what was sent to it before: two answers to {@code mn}, one after the other. */
+    private static void pass(Peer client) throws Exception {
+        for (int i = 0; i < 2; i++) {
+            client.send("mn\r\n");
+            client.expect("MN");
+        }
+    }
+
+    /** The number of the node that the next new connection goes to, once that has come. */
+    private static int chosen(Fixture f, Peer[] connection) {
+        for (int i = 0;; i = (i + 1) % f.nodes.size()) {
+            connection[0] = f.nodes.get(i).poll();
+            if (connection[0] != null) {
+                return i;
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    private static void isReadElsewhere(String half, Cut cut, boolean readBefore) throws Exception {
+        try (Fixture f = new Fixture(2)) {
+            Peer client = f.client();
+            Peer other = f.client();
+            client.send(Fixture.read("a1", 4900));
+            Peer[] node = new Peer[1];
+            int first = chosen(f, node);
+            assertEquals("Oa1", command(node[0]));
+            node[0].send(half);
+            if (readBefore) {
+                pass(other);
+            }
+            cut.of(node[0]);
+            Peer second = f.nodes.get(1 - first).next();
+            assertEquals("Oa1", command(second));
+            second.send("VA 2 Oa1\r\nok\r\n");
+            client.expect("VA 2 Oa1", "ok");
+            client.send("mn\r\n");
+            client.expect("MN"); // and nothing of the first answer
+        }
+    }
+
+    private static void hasFailedAndIsNotSentAgain(String half, Cut cut, boolean readBefore) throws Exception {
+        try (Fixture f = new Fixture(2)) {
+            Peer client = f.client();
+            Peer other = f.client();
+            client.send(Fixture.write("charge", "c1", 4000));
+            Peer[] node = new Peer[1];
+            chosen(f, node);
+            assertEquals("Oc1", command(node[0]));
+            node[0].send(half);
+            if (readBefore) {
+                pass(other);
+            }
+            cut.of(node[0]);
+            client.expect("SERVER_ERROR failed");
+            client.send(Fixture.read("a2", 4000));
+            chosen(f, node);
+            assertEquals("Oa2", command(node[0]));
+            node[0].send("VA 1 Oa2\r\n2\r\n");
+            client.expect("VA 1 Oa2", "2");
+            assertEquals(2, f.nodes.get(0).count() + f.nodes.get(1).count());
+        }
+    }
+
+    /** Danger: half an answer taken for a whole one, or waited for though its connection has ended. */
+    @Test
+    void aReadWhoseAnswerIsCutIsReadElsewhereInItsTime() throws Exception {
+        for (String half : new String[] {"VA 1", "VA 1 Oa1", "VA 1 Oa1\r", "VA 5 Oa1\r\nhel", "VA 5 Oa1\r\nhello",
+            "VA 5 Oa1\r\nhello\r"}) {
+            for (Cut cut : Cut.values()) {
+                isReadElsewhere(half, cut, false);
+                isReadElsewhere(half, cut, true);
+            }
+        }
+    }
+
+    /** Danger: the node may have done it; and a receipt that is cut is no receipt. */
+    @Test
+    void anUnsafeRequestWhoseAnswerIsCutHasFailedAndIsNotSentAgain() throws Exception {
+        for (String half : new String[] {"H", "HD Oc1", "HD Oc1 c7", "HD Oc1 c7\r", "VA 5 Oc1\r\nhello"}) {
+            for (Cut cut : Cut.values()) {
+                hasFailedAndIsNotSentAgain(half, cut, false);
+                hasFailedAndIsNotSentAgain(half, cut, true);
+            }
+        }
+    }
+
+    /** Danger: the next answer would be read as the rest of that line, and an unsafe request fail for nothing. */
+    @Test
+    void halfALineOnARestingConnectionEndsIt() throws Exception {
+        for (String half : new String[] {"V", "HD Oc1 c9", "VA 5 Oa1\r\nhello"}) {
+            try (Fixture f = new Fixture(1)) {
+                Peer client = f.client();
+                Peer node = served(f, client, "");
+                pass(client); // it rests
+                node.send(half);
+                pass(client);
+                client.send(Fixture.write("charge", "c1", 4000));
+                Peer fresh = f.nodes.get(0).next();
+                assertEquals("Oc1", command(fresh));
+                fresh.send("HD Oc1 c7\r\n");
+                client.expect("HD Oc1 c7");
+                node.expectEnd();
+            }
+        }
+    }
+
+    @Test
+    void aRestingConnectionThatEndsInHalfALineIsNotUsedAgain() throws Exception {
+        for (Cut cut : Cut.values()) {
+            try (Fixture f = new Fixture(1)) {
+                Peer client = f.client();
+                Peer node = served(f, client, "");
+                pass(client);
+                node.send("HD Oc1 c9");
+                cut.of(node);
+                pass(client);
+                client.send(Fixture.write("charge", "c1", 4000));
+                Peer fresh = f.nodes.get(0).next();
+                assertEquals("Oc1", command(fresh));
+                fresh.send("HD Oc1 c7\r\n");
+                client.expect("HD Oc1 c7");
+            }
+        }
+    }
+
     /** Danger: what many nodes begin to send at once must not fill the memory. */
     @Test
     void blocksOverTheBudgetOfAllAreTurnedAwayAndTheirRoomIsGivenBack() {
