The whole list that was taken is the one answer of its call to discovery

Cause: a call for one whole list that had told its list was still reported as FAILED when its connection was reset afterwards, and as SILENT when nothing more came, since only a regular end of the answer closed it without a word. The module was told twice of one call, and would rest and call anew though it was served. The present policy asks by watches only, so it meets this from no call of its own; the wire promises one event a call to any policy.

Change: such a call, once it has told its list, ends without a further event.

Both new tests for it fail without the change (FAILED after FULL; SILENT after FULL).

Further tests, which passed as the program was: an answer without a length that is reset or ended half-way through a list changes nothing and is asked for again from the version held; a whole list in such an answer is taken, and the next call asks from its version; a call for one list cut in it has failed.

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -316,6 +316,9 @@
                 return;
             }
             silently();
+            if (told && !stream) {
+                return; // its list was taken, and is the one answer that the module is owed
+            }
             log.line("discovery: " + why);
             if (this == successor) {
                 successorFailed();
--- a/src/test/java/holdproxy/net/DiscoveryTest.java
+++ b/src/test/java/holdproxy/net/DiscoveryTest.java
@@ -3,7 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdproxy.Router;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -201,4 +210,147 @@
             assertEquals("GET /registry/instances?stream=1&index=2 HTTP/1.1", callLine(f.discovery.next()));
         }
     }
+
+    /** A watch over an answer that says neither a length nor that it comes in chunks. */
+    private static Peer watchWithoutLength(Fixture f) throws Exception {
+        Peer watch = f.discovery.next();
+        callLine(watch);
+        watch.send("HTTP/1.1 200 OK\r\n\r\n");
+        return watch;
+    }
+
+    /** Danger: the end of the connection is the only end of such an answer, and a reset is not even that. */
+    @Test
+    void halfAListWithoutALengthChangesNothingAndTheCallIsMadeAgain() throws Exception {
+        for (boolean reset : new boolean[] {true, false}) {
+            try (Fixture f = new Fixture(1)) {
+                Peer client = f.client();
+                Peer open = serve(f, client, "a1", 0, null);
+                Peer watch = watchWithoutLength(f);
+                String drains = f.entry(0, "DRAINING");
+                String list = Fixture.list(2, true, drains);
+                watch.send("\n" + list.substring(0, list.indexOf(drains) + drains.length()));
+                serve(f, client, "a2", 0, open);
+                if (reset) {
+                    watch.reset();
+                } else {
+                    watch.close();
+                }
+                assertEquals("GET /registry/instances?stream=1&index=1 HTTP/1.1", callLine(f.discovery.next()));
+                serve(f, client, "a3", 0, open);
+            }
+        }
+    }
+
+    @Test
+    void aWholeListWithoutALengthIsTakenAndTheCallMadeAgainFromThere() throws Exception {
+        for (boolean reset : new boolean[] {true, false}) {
+            try (Fixture f = new Fixture(1)) {
+                f.nodes.add(new Peer.Listener());
+                Peer client = f.client();
+                Peer old = serve(f, client, "a1", 0, null);
+                Peer watch = watchWithoutLength(f);
+                watch.send(Fixture.list(2, true, f.entry(1, "SERVING")));
+                old.expectEnd(); // its line has no end yet
+                if (reset) {
+                    watch.reset();
+                } else {
+                    watch.close();
+                }
+                assertEquals("GET /registry/instances?stream=1&index=2 HTTP/1.1", callLine(f.discovery.next()));
+                serve(f, client, "a2", 1, null);
+            }
+        }
+    }
+
+    /**
+     * What discovery tells of one call for a whole list, beyond what {@code how}, which answers it, has taken.
+     * Another call follows, so that the loop has seen all that was sent in the first.
+     */
+    private static List<Router.ListKind> told(Answering how) throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Path file = Files.createTempFile("config", ".json");
+        BlockingQueue<Router.ListKind> told = new LinkedBlockingQueue<>();
+        ListSink sink = new ListSink() {
+            @Override
+            public void nodes(Router.ListKind kind, List<Discovery.Entry> entries) {
+                told.add(kind);
+            }
+
+            @Override
+            public long monotonic(long unixMs) {
+                return unixMs * 1000;
+            }
+        };
+        try (Peer.Listener service = new Peer.Listener()) {
+            Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
+            Config config = Config.load(Fixture.env(file, service.address()));
+            Discovery discovery = new Discovery(sink, config, loop, new Log());
+            loop.submit(discovery::fetch).get();
+            Peer call = service.next();
+            assertEquals("GET /registry/instances HTTP/1.1", callLine(call));
+            call.send("HTTP/1.1 200 OK\r\n\r\n");
+            how.answer(call, told);
+            loop.submit(discovery::fetch).get();
+            Peer last = service.next();
+            callLine(last);
+            last.close();
+            assertEquals(Router.ListKind.FAILED, next(told));
+        } finally {
+            Files.delete(file);
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+        return List.copyOf(told);
+    }
+
+    private interface Answering {
+        void answer(Peer call, BlockingQueue<Router.ListKind> told) throws Exception;
+    }
+
+    private static Router.ListKind next(BlockingQueue<Router.ListKind> told) throws Exception {
+        Router.ListKind kind = told.poll(10, TimeUnit.SECONDS);
+        assertTrue(kind != null, "nothing was told");
+        return kind;
+    }
+
+    /** Danger: one call has one answer; the failure told after it would rest a call that was served. */
+    @Test
+    void aWholeListThatWasTakenIsTheOneAnswerOfItsCallAlsoIfSilenceFollows() throws Exception {
+        assertEquals(List.of(), told((call, told) -> {
+            call.send(Fixture.list(2, true));
+            assertEquals(Router.ListKind.FULL, next(told));
+            call.expectEnd(); // given up
+        }));
+    }
+
+    @Test
+    void aWholeListThatWasTakenIsTheOneAnswerOfItsCallAlsoIfItsConnectionIsCut() throws Exception {
+        for (boolean reset : new boolean[] {true, false}) {
+            assertEquals(List.of(), told((call, told) -> {
+                call.send(Fixture.list(2, true));
+                assertEquals(Router.ListKind.FULL, next(told));
+                if (reset) {
+                    call.reset();
+                } else {
+                    call.socket.shutdownOutput();
+                    call.expectEnd();
+                }
+            }));
+        }
+    }
+
+    @Test
+    void aCallForAWholeListThatIsCutInItHasFailed() throws Exception {
+        for (boolean reset : new boolean[] {true, false}) {
+            assertEquals(List.of(), told((call, told) -> {
+                call.send(Fixture.list(2, true).substring(0, 30));
+                if (reset) {
+                    call.reset();
+                } else {
+                    call.close();
+                }
+                assertEquals(Router.ListKind.FAILED, next(told));
+            }));
+        }
+    }
 }
