A held address is waited for until the proxy before must have ended

Cause: a start gave up after 30 tries in 3 s where another process held its address, and ended with status 2, which counts as a crash; but a proxy told to end may take up to its longest deadline and more. And a SIGTERM during these tries was followed by a new bind: the listener of the failed try stood for one that could be closed, so clients were accepted by a proxy that was ending.

Change: it is tried for as long as a proxy of these settings may take to end, and 1 s more; one line says so when it begins. Each bind is decided on the loop and made only while nothing drains; the listener is known from its success on. A proxy told to end before it listens ends at once, with status 0.

Tests: an address held for 4 s (failed before: Address already in use), the time for 8 s deadlines (9.6 s), and a real process told to end while its address is held, which is freed after that (before, with only the line added, a connection was accepted).

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -5,13 +5,16 @@
 import holdproxy.Router;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.NetUtil;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.net.BindException;
@@ -58,8 +61,9 @@
     /** No attempt may begin 0.1 s after its client has gone: a pause of a third of that is caught up with. */
     private static final long CATCH_UP_US = 30_000;
     private static final int BACKLOG = 512;
-    private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
+    /** Beyond the longest end of the proxy before, which may hold the address until then. */
+    private static final long BIND_MARGIN_US = 1_000_000;
 
     private final Config config;
     private final Log log = new Log();
@@ -157,7 +161,9 @@
                 early = new ArrayList<>();
                 Warmup.run(this, config, names);
             }).await();
-            open();
+            if (!open()) {
+                return;
+            }
             int rounds = SocketWarmup.run(loop, address());
             if (rounds < SocketWarmup.ROUNDS) {
                 log.line("the listener was warmed up in " + rounds + " rounds only");
@@ -175,18 +181,24 @@
         }
     }
 
-    private void open() {
+    /** Whether it listens; it does not where it has been told to end before it could. */
+    private boolean open() {
         try {
             loop.submit(this::begin).get();
-            ChannelFuture bound = listen().await();
-            for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
-                // after a restart the one before may hold the address a moment longer
+            long until = now() + bindMostUs(config.settings);
+            Future<Boolean> listens = listen().await();
+            if (listens.cause() instanceof BindException) {
+                log.line("the address " + NetUtil.toSocketAddressString(config.listen)
+                    + " is held: trying for " + bindMostUs(config.settings) / 1000 + " ms");
+            }
+            while (listens.cause() instanceof BindException && now() < until) {
                 Thread.sleep(BIND_WAIT_MS);
-                bound = listen().await();
+                listens = listen().await();
             }
-            if (!bound.isSuccess()) {
-                throw new BadInput("cannot listen on " + config.listen + ": " + bound.cause().getMessage());
+            if (!listens.isSuccess()) {
+                throw new BadInput("cannot listen on " + config.listen + ": " + listens.cause().getMessage());
             }
+            return listens.getNow();
         } catch (ExecutionException e) {
             throw new BadInput("cannot start: " + e.getCause().getMessage());
         } catch (InterruptedException e) {
@@ -194,6 +206,11 @@
         }
     }
 
+    /** For how long the address may be held: after a restart the one before may still be answering. */
+    static long bindMostUs(Router.Settings settings) {
+        return drainMostUs(settings) + BIND_MARGIN_US;
+    }
+
     /** A new configuration, already checked: where discovery is may change, nothing else. */
     void reload(Config changed) {
         loop.execute(() -> discovery.move(changed.discovery));
@@ -224,15 +241,33 @@
         };
     }
 
-    private ChannelFuture listen() {
-        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+    /** Whether it listens now: not once it drains. Fails with what the system says against it. */
+    private Future<Boolean> listen() {
+        Promise<Boolean> listens = loop.newPromise();
+        ServerBootstrap bootstrap = new ServerBootstrap().group(loop, loop)
+            .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(clients())
-            .bind(config.listen);
-        listener = bound.channel();
-        return bound;
+            .childHandler(clients());
+        loop.execute(() -> {
+            if (draining) {
+                listens.setSuccess(false);
+                return;
+            }
+            bootstrap.bind(config.listen).addListener((ChannelFutureListener) f -> {
+                if (!f.isSuccess()) {
+                    listens.setFailure(f.cause());
+                } else if (draining) {
+                    f.channel().close();
+                    listens.setSuccess(false);
+                } else {
+                    listener = f.channel();
+                    listens.setSuccess(true);
+                }
+            });
+        });
+        return listens;
     }
 
     InetSocketAddress address() {
--- a/src/test/java/holdproxy/net/StartTest.java
+++ b/src/test/java/holdproxy/net/StartTest.java
@@ -1,15 +1,24 @@
 package holdproxy.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdproxy.Router;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -70,12 +79,63 @@
         }
     }
 
+    /** Danger: given up after 3 s, a start beside a proxy that was still ending counted as a crash. */
+    @Test
+    void anAddressHeldForLongerThanAMomentIsWaitedFor() throws Exception {
+        Path config = folder.resolve("config.json");
+        String settings = Fixture.SETTINGS.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":60000.0");
+        Files.writeString(config, Fixture.json(Fixture.list(1, true), settings, 1024));
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try (ServerSocket holder = heldAddress()) {
+            InetSocketAddress listen = (InetSocketAddress) holder.getLocalSocketAddress();
+            Map<String, String> env = new HashMap<>(Fixture.env(config, "127.0.0.1:1"));
+            env.put("LB_LISTEN", text(listen));
+            FutureTask<Proxy> start = new FutureTask<>(() -> Proxy.start(Config.load(env), loop));
+            new Thread(start, "start").start();
+            Thread.sleep(4000); // for which it is held
+            holder.close();
+            start.get();
+            try (Peer client = Peer.to(listen)) {
+                client.send("mn\r\n");
+                client.expect("MN");
+            }
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    void theAddressIsWaitedForUntilTheProxyBeforeMustHaveEnded() {
+        Router.Settings s = new Router.Settings();
+        s.classes = new Router.RequestClass[] {new Router.RequestClass()};
+        s.classes[0].deadlineUs = 8_000_000;
+        assertEquals(9_600_000, Proxy.bindMostUs(s));
+    }
+
+    /** Danger: told to end while it tried, it listened after that, for clients whom nobody would serve. */
+    @Test
+    void aStartThatIsToldToEndWhileItsAddressIsHeldListensNoMore() throws Exception {
+        try (ServerSocket holder = heldAddress()) {
+            InetSocketAddress listen = (InetSocketAddress) holder.getLocalSocketAddress();
+            Process proxy = start(listen);
+            said(proxy, "holdproxy: the address " + text(listen) + " is held: trying for 6600 ms");
+            proxy.destroy();
+            said(proxy, "holdproxy: ending: 0 requests open");
+            holder.close();
+            while (proxy.isAlive()) {
+                assertThrows(ConnectException.class, () -> Peer.to(listen));
+            }
+            assertEquals(0, proxy.exitValue());
+        }
+    }
+
     /** Waits for a line of the program's. */
     private void said(Process proxy, String line) throws IOException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-        while (!Files.readAllLines(folder.resolve("log")).contains(line)) {
-            assertTrue(proxy.isAlive() && System.nanoTime() < end, "not said: " + line);
+        for (boolean alive = proxy.isAlive(); !Files.readAllLines(folder.resolve("log")).contains(line);) {
+            assertTrue(alive && System.nanoTime() < end, "not said: " + line);
             Thread.onSpinWait();
+            alive = proxy.isAlive(); // it may have said it last of all
         }
     }
 
@@ -87,20 +147,28 @@
             "-Xlog:class+load:file=" + folder.resolve("loaded"), "-cp", System.getProperty("java.class.path"),
             "holdproxy.Main", "serve");
         builder.environment().putAll(Fixture.env(config, "127.0.0.1:1"));
-        builder.environment().put("LB_LISTEN", listen.getAddress().getHostAddress() + ":" + listen.getPort());
+        builder.environment().put("LB_LISTEN", text(listen));
         builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
         return builder.start();
     }
 
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** On a loopback address that nobody else uses: the port is still free when the program takes it. */
     private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket s = heldAddress()) {
+            return (InetSocketAddress) s.getLocalSocketAddress();
+        }
+    }
+
+    private static ServerSocket heldAddress() throws IOException {
         byte[] own = new byte[4];
         ThreadLocalRandom.current().nextBytes(own);
         own[0] = 127;
         own[3] |= 2;
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByAddress(own))) {
-            return new InetSocketAddress(s.getInetAddress(), s.getLocalPort());
-        }
+        return new ServerSocket(0, 1, InetAddress.getByAddress(own));
     }
 
     /** Its answer to {@code mn}, as soon as it listens. */
