An Error in one event leaves the later events running

Cause: events caught a RuntimeException only. An Error left the mark that an event is being delivered, so all later ones were queued and none was run: every request from then on was left until it was overdue.

Change: an Error is logged as a fault too, and the next event runs.

The test throws an Error in one event; a request after it reached no node before (no connection came in 10 s), and is answered with the change. ServingTest passes.

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -322,7 +322,7 @@
     }
 
     /** The module's calls do not nest: what its actions bring about at once is delivered after its return. */
-    private void event(Runnable call) {
+    void event(Runnable call) {
         events.add(call);
         if (inEvent) {
             return;
@@ -331,7 +331,7 @@
         for (Runnable next = events.poll(); next != null; next = events.poll()) {
             try {
                 next.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 StackTraceElement[] trace = e.getStackTrace();
                 log.line("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
             }
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -52,6 +52,22 @@
         }
     }
 
+    /** Danger: an Error left the mark that an event runs, and no later event ever ran. */
+    @Test
+    void afterAnErrorInOneEventOthersAreStillDelivered() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            f.loop.submit(() -> f.proxy.event(() -> {
+                throw new AssertionError("scripted");
+            })).await();
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer node = f.nodes.get(0).next();
+            assertEquals("mg 7f3a9c21e0b4d655 v Oa1 Pc=lookup,t=acme,d=", command(node, 4000));
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+        }
+    }
+
     @Test
     void aWriteGoesOnWithItsValueAndKeyAndItsReceiptComesBack() throws Exception {
         try (Fixture f = new Fixture(1)) {
