A connection without a socket is reported on the event loop

Cause: where no socket could be made, as with no descriptor left, Netty reports the failed connection on a thread of its own, since no loop has it yet. Both callers took that report where it came: attempts ended, the module was called and the list of connections changed beside the loop, with nothing locked.

Change: one place makes connections and hands such a report to the loop. It comes a pass later than the attempt was put in line; an attempt given up in between finds no channel to close, which is allowed for.

Tests: the report of a bootstrap that makes no socket is on the loop (it was not), and an attempt in line there can be given up (before: a NullPointerException).

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -5,7 +5,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -265,7 +264,7 @@
             this.stream = stream;
             Call call = this;
             silentFor(firstWordMs);
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -273,18 +272,17 @@
                         channel = ch;
                         ch.pipeline().addLast(new HttpClientCodec(), call, lists, new Lists(call));
                     }
-                })
-                .connect(at).addListener((ChannelFutureListener) f -> {
-                    if (f.isSuccess()) {
-                        DefaultFullHttpRequest get =
-                            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
-                        get.headers().set(HttpHeaderNames.HOST,
-                            NetUtil.toSocketAddressString(at));
-                        f.channel().writeAndFlush(get);
-                    } else {
-                        failed("no connection");
-                    }
                 });
+            Dial.to(at, bootstrap, loop, f -> {
+                if (f.isSuccess()) {
+                    DefaultFullHttpRequest get =
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+                    get.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(at));
+                    f.channel().writeAndFlush(get);
+                } else {
+                    failed("no connection");
+                }
+            });
         }
 
         /**
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -239,7 +239,7 @@
 
     /** The bytes of what is still in line were either written, and may run, or never will be. */
     void close() {
-        if (!closed) {
+        if (!closed && channel != null) { // null where no socket could be made, which is about to be reported
             channel.close();
         }
         gone();
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -3,7 +3,6 @@
 import holdproxy.Router;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -93,12 +92,13 @@
         Answer.Decoder decoder = new Answer.Decoder(coming);
         NodeConnection c = new NodeConnection(pool, decoder);
         pool.added(c);
-        bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+        Bootstrap dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
                 ch.pipeline().addLast(decoder, c);
             }
-        }).connect(pool.address).addListener((ChannelFutureListener) c::dialed);
+        });
+        Dial.to(pool.address, dial, loop, c::dialed);
         return c;
     }
 
--- /dev/null
+++ b/src/test/java/holdproxy/net/DialTest.java
@@ -0,0 +1,68 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections that cannot even be begun, as where no descriptor is left. */
+@Timeout(60)
+class DialTest {
+    /** Danger: nothing is locked, and the report changed on another thread what the loop was at work on. */
+    @Test
+    void aConnectionWithoutASocketIsReportedOnTheLoop() throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try (Peer.Listener node = new Peer.Listener()) {
+            Bootstrap bootstrap = new Bootstrap().group(loop).channelFactory(() -> {
+                throw new ChannelException("too many open files");
+            }).handler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel ch) {
+                    // nothing is sent
+                }
+            });
+            CompletableFuture<Boolean> onLoop = new CompletableFuture<>();
+            loop.execute(() -> Dial.to(node.socketAddress(), bootstrap, loop, f -> {
+                assertEquals(ChannelException.class, f.cause().getClass());
+                onLoop.complete(loop.inEventLoop());
+            }));
+            assertTrue(onLoop.get());
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Danger: its request may end before that report, and there is no channel to close yet. */
+    @Test
+    void anAttemptOnAConnectionWithoutASocketCanBeGivenUp() throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Path file = Files.createTempFile("config", ".json");
+        try (Peer.Listener node = new Peer.Listener()) {
+            Files.writeString(file, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
+            Config config = Config.load(Fixture.env(file, "127.0.0.1:1"));
+            NodePools pools = new NodePools(null, config, loop, new Log(), 1);
+            NodeConnection c = new NodeConnection(new NodePool(pools, "s-0", node.socketAddress()),
+                new Answer.Decoder(new Budget(1 << 20)));
+            Attempt a = new Attempt(null, 0, 0, 1000);
+            c.add(a);
+            assertFalse(c.giveUp(a));
+            assertFalse(c.usable());
+        } finally {
+            Files.delete(file);
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+}
