Descriptors of an accept pass are counted: 8 are taken up at once, 8 are told busy

What is closed for a new connection, or shut unread, keeps its descriptor until the next pass of the loop, and a pass took up 16: these were in no sum. With 16 told busy beyond the bound, idle clients that come in bursts while discovery fails, and all connections to nodes open, a process with a limit of 256 held 265 descriptors at most (38 of them no sockets; a deployed one has 18 of these). Now a pass takes up 8, of which the sum knows, and 8 beyond the bound are told busy.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -16,7 +16,11 @@
  */
 final class Admission {
     /** Connections over the bound that are still told so. */
-    static final int MOST_REFUSING = 16;
+    private static final int MOST_REFUSING = 8;
+    /** Taken up in one pass of the loop; what is closed for them keeps its descriptor until the next. */
+    static final int ACCEPTED_TOGETHER = 8;
+    /** Descriptors of clients beyond the bound. */
+    static final int MOST_BEYOND = MOST_REFUSING + ACCEPTED_TOGETHER;
     /** A client is owed an error or a close within 3 s of connecting, and of beginning a command. */
     private static final long STRANGER_US = 2_000_000;
     private static final long HALF_SAID_US = 2_000_000;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.internal.logging.InternalLoggerFactory;
@@ -112,7 +113,7 @@
         for (int i = 0; i < config.settings.tenants.length; i++) {
             names.tenants().put(config.settings.tenants[i].name, i);
         }
-        pools = new NodePools(this, config, loop, log, left - mostSessions - Admission.MOST_REFUSING);
+        pools = new NodePools(this, config, loop, log, left - mostSessions - Admission.MOST_BEYOND);
         discovery = new Discovery(this, config, loop, log);
         // last: it sets timers at once, and a proxy that can't start for a bad list must call nobody
         router = new RoutingPolicy(config.settings, config.seed, now(), this);
@@ -228,6 +229,8 @@
         ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR,
+                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Admission.ACCEPTED_TOGETHER))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(clients())
             .bind(config.listen);
--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -180,7 +180,7 @@
                 }
             });
             List<Peer> burst = new ArrayList<>();
-            for (int i = 0; i < 15; i++) { // so many are taken up in one pass of the loop
+            for (int i = 0; i < 15; i++) { // taken up before any of them is read for sure
                 Peer p = f.client();
                 p.send("mn\r\n");
                 burst.add(p);
--- a/src/test/java/holdproxy/net/Peer.java
+++ b/src/test/java/holdproxy/net/Peer.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -33,7 +34,7 @@
         in = new BufferedInputStream(socket.getInputStream());
     }
 
-    static Peer to(java.net.InetSocketAddress address) throws IOException {
+    static Peer to(InetSocketAddress address) throws IOException {
         return new Peer(new Socket(address.getAddress(), address.getPort()));
     }
 
@@ -89,7 +90,11 @@
         private final List<Peer> all = new CopyOnWriteArrayList<>();
 
         Listener() throws IOException {
-            server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+            this(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        }
+
+        Listener(InetSocketAddress at) throws IOException {
+            server = new ServerSocket(at.getPort(), BACKLOG, at.getAddress());
             thread = new Thread(this::accept, "listener");
             thread.setDaemon(true);
             thread.start();
--- a/src/test/java/holdproxy/net/StartTest.java
+++ b/src/test/java/holdproxy/net/StartTest.java
@@ -93,7 +93,7 @@
     }
 
     /** On a loopback address that nobody else uses: the port is still free when the program takes it. */
-    private static InetSocketAddress freeAddress() throws IOException {
+    static InetSocketAddress freeAddress() throws IOException {
         byte[] own = new byte[4];
         ThreadLocalRandom.current().nextBytes(own);
         own[0] = 127;
@@ -111,7 +111,7 @@
         }
     }
 
-    private static Peer firstClient(Process proxy, InetSocketAddress listen) throws Exception {
+    static Peer firstClient(Process proxy, InetSocketAddress listen) throws Exception {
         while (proxy.isAlive()) {
             try {
                 return Peer.to(listen);
