--- a/src/test/java/holdproxy/net/StartTest.java
+++ b/src/test/java/holdproxy/net/StartTest.java
@@ -157,7 +157,7 @@
     }
 
     /** On a loopback address that nobody else uses: the port is still free when the program takes it. */
-    private static InetSocketAddress freeAddress() throws IOException {
+    static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket s = heldAddress()) {
             return (InetSocketAddress) s.getLocalSocketAddress();
         }
@@ -179,7 +179,7 @@
         }
     }
 
-    private static Peer firstClient(Process proxy, InetSocketAddress listen) throws Exception {
+    static Peer firstClient(Process proxy, InetSocketAddress listen) throws Exception {
         while (proxy.isAlive()) {
             try {
                 return Peer.to(listen);
