--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -1,6 +1,7 @@
 package holdproxy.net;
 
 import io.netty.channel.EventLoop;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -21,10 +22,12 @@
     private static final long HALF_SAID_US = 2_000_000;
     /** What a new connection brings along is read within this, also where no other connection comes. */
     private static final long UNREAD_US = 300_000;
-    /** A connection between requests may go after 2 s; most clients come back within these. */
+    /** Where there is room a connection between requests stays so long: most clients come back sooner. */
     private static final long IDLE_US = 10_000_000;
     /** Where clients are short of connections, one that waits for a request gets it sooner than this. */
     private static final long STAYS_US = 80_000;
+    /** A connection may be closed once it has rested so long; until then a client is likely to come back. */
+    private static final long RESTED_US = 2_000_000;
     private static final long SWEEP_MS = 200;
 
     private final Proxy proxy;
@@ -58,6 +61,9 @@
         s.openedUs = proxy.now();
         s.openedPass = pass;
         countPass();
+        if (proxy.catchUp.running()) {
+            proxy.catchUp.begin(); // a pass takes only so many off the accept queue: more may lie there
+        }
         if (all.size() > most && !makeRoom()) {
             s.refuse();
             if (all.size() > most + MOST_REFUSING) {
@@ -70,11 +76,17 @@
 
     /**
      * Between requests a connection may be closed; those that never asked for anything go first, but not
-     * before they were read: in a burst each would end the one before it, whose request is unread.
+     * before they were read: in a burst each would end the one before it, whose request is unread. Where it
+     * is a flood that says nothing, one that has asked does not go before it has rested long.
      */
     private boolean makeRoom() {
         ClientSession s = first(strangers);
-        s = s == null ? leastMissed() : surelyRead(s) ? s : null;
+        if (s == null) {
+            s = leastMissed();
+        } else if (!surelyRead(s)) {
+            s = first(idle);
+            s = s != null && proxy.now() - s.idleUs > RESTED_US ? s : null;
+        }
         if (s == null) {
             return false;
         }
@@ -134,16 +146,21 @@
         return all.size() - strangers.size() - leaving.size() > mostKnown;
     }
 
-    /** Those that have come back are spared: a new connection for each request costs more than it frees. */
+    /** Those that have come back stay longer: a connection for each request costs more than it frees. */
     private void trim() {
         trimming = false;
+        trim(askedOnce, STAYS_US);
+        trim(idle, RESTED_US);
+    }
+
+    private void trim(Set<ClientSession> longestIdleFirst, long staysUs) {
         long now = proxy.now();
-        ClientSession s = first(askedOnce);
-        while (s != null && tooManyKnown() && now - s.idleUs > STAYS_US) {
+        ClientSession s = first(longestIdleFirst);
+        while (s != null && tooManyKnown() && now - s.idleUs > staysUs) {
             left(s);
             leaving.add(s);
             s.close();
-            s = first(askedOnce);
+            s = first(longestIdleFirst);
         }
     }
 
@@ -176,6 +193,11 @@
         halfSaid.remove(s);
     }
 
+    /** Clients that do not take their answers must not fill our memory with them: who holds most goes. */
+    void closeGreediest() {
+        all.stream().max(Comparator.comparingLong(ClientSession::untaken)).ifPresent(ClientSession::drop);
+    }
+
     boolean none() {
         return all.isEmpty();
     }
