Clients that come while the sockets are warmed up are served at once, not held

Where a proxy cannot reach itself that takes 250 ms, in which whoever connects was held; classes there have deadlines of 93 ms.

Now clients are served from the first on, and no further round of the warm-up begins once one has come.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -45,7 +45,6 @@
     private boolean refusing;
     private boolean ending;
     private boolean settled;
-    private boolean early;
     /** Commands of this read may still be in the decoder. */
     private boolean reading;
     /** A whole command has come in this read. */
@@ -188,18 +187,7 @@
     }
 
     private boolean full() {
-        return early || paused || lost || slots.size() >= MOST_WAITING || !channel.isWritable();
-    }
-
-    /** Nothing is taken up from it until {@link #admit}. */
-    void holdBack() {
-        early = true;
-        decoder.hold();
-    }
-
-    void admit() {
-        early = false;
-        throttle();
+        return paused || lost || slots.size() >= MOST_WAITING || !channel.isWritable();
     }
 
     private void resume() {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -21,7 +21,6 @@
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -98,8 +97,8 @@
     private volatile Channel listener;
     /** Connections of clients so far. */
     private long accepted;
-    /** Connections that came before the warm-up was over: not served until it is; null from then on. */
-    private List<ClientSession> early;
+    /** A client other than the warm-up has connected. */
+    private boolean clientSeen;
     private boolean draining;
 
     private Proxy(Config config, EventLoop loop) {
@@ -145,7 +144,7 @@
         return proxy;
     }
 
-    private static Proxy create(Config config, EventLoop loop) {
+    static Proxy create(Config config, EventLoop loop) {
         try {
             return loop.submit(() -> new Proxy(config, loop)).get();
         } catch (ExecutionException e) {
@@ -155,30 +154,34 @@
         }
     }
 
-    /** Listens, and answers its first client when the code of doing so has been run. */
+    /**
+     * Runs the request path without sockets, listens, and then runs the sockets' code too for as long as no
+     * client has come: a client that came is served at once, since its deadline may be shorter than a warm-up.
+     */
     void openWarm() {
+        openWarm(this::warmSockets);
+    }
+
+    /** {@code whileUnused}: runs once the proxy listens; clients are served meanwhile. */
+    void openWarm(Runnable whileUnused) {
         try {
-            loop.submit(() -> {
-                early = new ArrayList<>();
-                Warmup.run(this, config, names);
-            }).await();
-            if (!open()) {
-                return;
-            }
-            int rounds = SocketWarmup.run(loop, address());
-            if (rounds < SocketWarmup.ROUNDS) {
-                log.line("the listener was warmed up in " + rounds + " rounds only");
-            }
-            loop.execute(this::admitEarly);
+            loop.submit(() -> Warmup.run(this, config, names)).await();
         } catch (InterruptedException e) {
             throw new BadInput("interrupted");
         }
+        if (open()) {
+            whileUnused.run();
+        }
     }
 
-    private void admitEarly() {
-        if (early != null) {
-            early.forEach(ClientSession::admit);
-            early = null;
+    private void warmSockets() {
+        try {
+            int rounds = SocketWarmup.run(loop, address(), () -> !clientSeen);
+            if (rounds < SocketWarmup.ROUNDS) {
+                log.line("the listener was warmed up in " + rounds + " rounds only");
+            }
+        } catch (InterruptedException e) {
+            throw new BadInput("interrupted");
         }
     }
 
@@ -232,12 +235,8 @@
             protected void initChannel(Channel ch) {
                 accepted++;
                 Command.Decoder decoder = new Command.Decoder(names, coming);
-                ClientSession session = new ClientSession(proxy, decoder);
-                ch.pipeline().addLast(decoder, session);
-                if (early != null && !SocketWarmup.own((InetSocketAddress) ch.remoteAddress(), address())) {
-                    session.holdBack();
-                    early.add(session);
-                }
+                ch.pipeline().addLast(decoder, new ClientSession(proxy, decoder));
+                clientSeen = clientSeen || !SocketWarmup.own((InetSocketAddress) ch.remoteAddress(), address());
             }
         };
     }
@@ -629,7 +628,6 @@
         loop.execute(() -> {
             draining = true;
             log.line("ending: " + table.size() + " requests open");
-            admitEarly();
             if (listener == null) {
                 finishDrain(); // nobody could come yet
             } else {
--- a/src/main/java/holdproxy/net/SocketWarmup.java
+++ b/src/main/java/holdproxy/net/SocketWarmup.java
@@ -13,12 +13,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
- * Runs the code of accepting, connecting, reading, writing and closing before the first client is read: most
+ * Runs the code of accepting, connecting, reading, writing and closing while no client has come yet: most
  * of what a first burst of new connections finds uncompiled. Over TCP to the proxy's own listener: it is to
- * listen on no other address, and a deployment may have no other kind of socket. Where the proxy cannot
- * reach itself, the start must not wait for that: clients would.
+ * listen on no other address, and a deployment may have no other kind of socket.
  */
 final class SocketWarmup {
     static final int ROUNDS = 35;
@@ -28,18 +28,24 @@
 
     private final EventLoop loop;
     private final InetSocketAddress listener;
+    private final BooleanSupplier unused;
     private final Promise<Integer> done;
     private int rounds;
 
-    private SocketWarmup(EventLoop loop, InetSocketAddress listener) {
+    private SocketWarmup(EventLoop loop, InetSocketAddress listener, BooleanSupplier unused) {
         this.loop = loop;
         this.listener = listener;
+        this.unused = unused;
         done = loop.newPromise();
     }
 
-    /** Not on the loop: waits for it. Returns how many rounds were served. */
-    static int run(EventLoop loop, InetSocketAddress listener) throws InterruptedException {
-        SocketWarmup warmup = new SocketWarmup(loop, listener);
+    /**
+     * Not on the loop: waits for it. Returns how many rounds were served.
+     *
+     * @param unused asked on the loop before each round; no further round begins once it is false
+     */
+    static int run(EventLoop loop, InetSocketAddress listener, BooleanSupplier unused) throws InterruptedException {
+        SocketWarmup warmup = new SocketWarmup(loop, listener, unused);
         loop.execute(warmup::round);
         loop.schedule(warmup::end, MOST_MS, TimeUnit.MILLISECONDS);
         return warmup.done.await().getNow();
@@ -54,7 +60,7 @@
         if (done.isDone()) {
             return;
         }
-        if (rounds == ROUNDS) {
+        if (rounds == ROUNDS || !unused.getAsBoolean()) {
             end();
             return;
         }
--- a/src/test/java/holdproxy/net/StartTest.java
+++ b/src/test/java/holdproxy/net/StartTest.java
@@ -65,6 +65,34 @@
         assertEquals(0, proxy.exitValue());
     }
 
+    /**
+     * Danger: whoever connected during the warm-up of the sockets was held until its end, 250 ms where the proxy
+     * cannot reach itself; requests with a deadline of 93 ms were never answered. The warm-up here ends only
+     * after the client has its answer.
+     */
+    @Test
+    void aClientIsAnsweredWhileTheSocketsAreWarmedUp() throws Exception {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Fixture.json(Fixture.list(1, true), Fixture.SETTINGS, 1024));
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        InetSocketAddress listen = freeAddress();
+        Map<String, String> env = new HashMap<>(Fixture.env(config, "127.0.0.1:1"));
+        env.put("LB_LISTEN", text(listen));
+        Proxy proxy = Proxy.create(Config.load(env), loop);
+        try {
+            proxy.openWarm(() -> {
+                try (Peer client = Peer.to(listen)) {
+                    client.send("mn\r\n");
+                    client.expect("MN");
+                } catch (Exception e) {
+                    throw new AssertionError("not answered during the warm-up", e);
+                }
+            });
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
     /** Danger: where the class archive was lost, in a copied checkout, only a line of the JVM's told so. */
     @Test
     void aStartWithoutItsClassArchiveSaysSo() throws Exception {
