Where no tenant has a quota, failures running are blamed on demand, not single ones

All requests share one bucket there, and every late or refused answer raised it in full: quotaRatio is 1, so overQuota returned 1.

Now, without quotas, a failure weighs the square of failures running over CONSECUTIVE_TELLS, one at most.

--- a/src/main/java/holdproxy/RoutingPolicy.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -124,6 +124,7 @@
     private final DecayingValue[] asked;
     private final DecayingValue[] admitted;
     private final double leastWorth;
+    private final boolean quotasKnown;
     private double meanChance;
     private double meanRatio = 1;
     private double consecutiveFailures;
@@ -160,6 +161,7 @@
         fleet = new Fleet(settings);
         ownSalt = random.next();
         leastWorth = Math.max(1e-6, Arrays.stream(set.classes).mapToDouble(c -> c.worth).min().orElse(1));
+        quotasKnown = Arrays.stream(set.tenants).anyMatch(t -> t.quotaPerS > 0);
         asked = DecayingValue.array(Math.max(1, settings.tenants.length), RATE_US);
         admitted = DecayingValue.array(asked.length, RATE_US);
         if (settings.askForNodes) {
@@ -671,13 +673,19 @@
 
     /**
      * Flushes and slowdowns fail everyone: a tenant is blamed by how far it runs over its quota compared with
-     * the mean request here, so that within one proxy those beyond their quota are refused first.
+     * the mean request here, so that within one proxy those beyond their quota are refused first. Where no
+     * quota is stated nothing tells that demand is too high but failures running: single late or refused
+     * answers, taken for it in full, would refuse a share of all requests that the fleet could serve.
      */
     private double overQuota(int tenant, long now) {
+        if (!quotasKnown) {
+            double certain = Math.min(1, consecutiveFailures / CONSECUTIVE_TELLS);
+            return certain * certain;
+        }
         double ratio = quotaRatio(tenant, now) / Math.max(1e-3, meanRatio);
         double demand = Math.min(1, meanRatio);
-        double certain = Math.min(CONSECUTIVE_MOST, consecutiveFailures / CONSECUTIVE_TELLS);
-        return Math.min(QUOTA_MOST, ratio * ratio) * Math.max(demand * demand, certain);
+        double proven = Math.min(CONSECUTIVE_MOST, consecutiveFailures / CONSECUTIVE_TELLS);
+        return Math.min(QUOTA_MOST, ratio * ratio) * Math.max(demand * demand, proven);
     }
 
     private double quotaRatio(int tenant, long now) {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -155,8 +155,8 @@
     }
 
     /**
-     * Runs the request path without sockets, listens, and then runs the sockets' code too for as long as no
-     * client has come: a client that came is served at once, since its deadline may be shorter than a warm-up.
+     * Runs the request path without sockets, listens, and then runs the sockets' code too for as long as
+     * no client has come: one that came is served at once, as its deadline may be shorter than a warm-up.
      */
     void openWarm() {
         openWarm(this::warmSockets);
@@ -236,7 +236,7 @@
                 accepted++;
                 Command.Decoder decoder = new Command.Decoder(names, coming);
                 ch.pipeline().addLast(decoder, new ClientSession(proxy, decoder));
-                clientSeen = clientSeen || !SocketWarmup.own((InetSocketAddress) ch.remoteAddress(), address());
+                clientSeen |= !SocketWarmup.own((InetSocketAddress) ch.remoteAddress(), address());
             }
         };
     }
--- a/src/main/java/holdproxy/net/SocketWarmup.java
+++ b/src/main/java/holdproxy/net/SocketWarmup.java
@@ -44,7 +44,8 @@
      *
      * @param unused asked on the loop before each round; no further round begins once it is false
      */
-    static int run(EventLoop loop, InetSocketAddress listener, BooleanSupplier unused) throws InterruptedException {
+    static int run(EventLoop loop, InetSocketAddress listener, BooleanSupplier unused)
+            throws InterruptedException {
         SocketWarmup warmup = new SocketWarmup(loop, listener, unused);
         loop.execute(warmup::round);
         loop.schedule(warmup::end, MOST_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/holdproxy/BusyProxyTest.java
+++ b/src/test/java/holdproxy/BusyProxyTest.java
@@ -34,6 +34,23 @@
         assertTrue(refused < 800, "refused of 4000: " + refused);
     }
 
+    /**
+     * Danger: where no tenant has a quota each single failure was blamed on demand in full: with one attempt in
+     * eight timing out, a third of all requests were refused, which the nodes could have served.
+     */
+    @Test
+    void withoutQuotasOneTimeOutInEightRefusesFew() {
+        int refused = refused(8, Router.Outcome.TIMEOUT);
+        assertTrue(refused < 1000, "refused of 4000: " + refused);
+    }
+
+    /** And still, where nothing else comes back, nearly all are refused. */
+    @Test
+    void withoutQuotasFailuresRunningRefuseNearlyAll() {
+        int refused = refused(1, Router.Outcome.TIMEOUT);
+        assertTrue(refused > 3000, "refused of 4000: " + refused);
+    }
+
     /** Danger: at a fixed step one broken connection in three passed every node over, and none was left. */
     @Test
     void oneBrokenConnectionInThreeLeavesNodesToGoTo() {
