A write goes to the candidate of the two to which a connection rests

No cache keeps what is written, so a write gains nothing by its key's first node. Between two candidates neither of which is clearly less busy, the one with a resting connection takes it; reads stay where their key is kept.

--- a/src/main/java/holdproxy/RoutingPolicy.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -290,18 +290,28 @@
             Backend t = ranked[i];
             boolean may = !r.tried(t) && mayResend(r, t, now);
             if (may && slowStartAdmits(t, r, key, now) && !ejected(t, key, now)) {
-                best = seen++ == 0 || lessBusy(t, best, now) ? t : best;
+                best = seen++ == 0 || lessBusy(r, t, best, now) ? t : best;
             }
         }
         return best;
     }
 
     /** Clearly fewer of our own in flight; with few a proxy most are ties, which reported load decides. */
-    private static boolean lessBusy(Backend t, Backend best, long now) {
+    private boolean lessBusy(InFlightRequest r, Backend t, Backend best, long now) {
         int fewer = best.inFlight - t.inFlight;
+        if (r.write && Math.abs(fewer) < CLEARLY_FEWER && rests(t, now) != rests(best, now)) {
+            // no cache keeps what is written: a write gains nothing by its key's first node, and a handshake
+            // takes a part of its aim
+            return rests(t, now);
+        }
         return fewer >= CLEARLY_FEWER || fewer == 0 && best.busy.get(now) > t.busy.get(now) + BUSY_TIE;
     }
 
+    /** Whether one of our connections to it surely rests: all that were in use have come back. */
+    private boolean rests(Backend t, long now) {
+        return t.inFlight == 0 && t.idleSince != Long.MIN_VALUE && now - t.idleSince <= idleLimit(now);
+    }
+
     /** Hot keys: only a key that alone would overfill its nodes is spread, over as many pairs as it needs. */
     private int hotReplicas(long key, long now) {
         double all = hotKeyCount.get(now);
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -614,6 +614,41 @@
         assertEquals(0, out.all.stream().filter(a -> a.startsWith("close")).count());
     }
 
+    /**
+     * Danger: writes with an aim of 150 ms went to their key's first node over a new connection, a third of which
+     * came up late, while a connection to the second rested. Reads keep to their cache.
+     */
+    @Test
+    void aWriteGoesToTheCandidateWithARestingConnection() {
+        for (boolean write : new boolean[] {true, false}) {
+            Fixture f = new Fixture();
+            Router.Settings s = Fixture.settings(Router.Effect.UNSAFE);
+            s.idleCloseUs = 60 * S;
+            RoutingPolicy p = f.choice(s, 1, Fixture.nodes(2));
+            int busy = 1;
+            p.onRequest(0, Fixture.request(1, keyOf(busy, 1), S), f); // stays out, on the only connection there
+            p.onRequest(0, Fixture.request(2, keyOf(2, 1), S), f);
+            f.outcome(p, MS, 2, 0, Router.Outcome.OK);
+            Router.Request third = Fixture.request(3, keyOf(busy, 2), S);
+            third.write = write;
+            p.onRequest(2 * MS, third, f);
+            assertEquals(write, f.lastNode() != busy, "a write: " + write);
+        }
+    }
+
+    /** The so many-th key whose first candidate of two nodes is this one. */
+    private static long keyOf(int node, int which) {
+        for (long key = 1;; key++) {
+            Fixture f = new Fixture();
+            RoutingPolicy p = f.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(2));
+            p.onRequest(0, Fixture.request(1, key, S), f);
+            which -= f.lastNode() == node ? 1 : 0;
+            if (which == 0) {
+                return key;
+            }
+        }
+    }
+
     /** What fails at nodes that fail more than others must not get a tenant within its quota refused elsewhere. */
     @Test
     void aTenantWithinItsQuotaIsSparedTheBlameForNodesThatFailMoreThanOthers() {
