--- a/src/main/java/holdproxy/RoutingPolicy.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -79,9 +79,9 @@
     static final double RETRY_BUDGET_EARN = 0.1;
     static final double RETRY_BUDGET_MOST = 10;
     static final double RETRY_BUDGET_FIRST = 1;
-    // After a broken or refused connection no node has worked, or only one that could not answer, and none
-    // where one turned it away: such a further attempt multiplies little, and where one in seven breaks or
-    // half the nodes turn a tenant away they would spend the whole budget.
+    // After a broken connection no node has worked, or only one that could not answer, and none where one
+    // turned it away: such a further attempt multiplies little, and where one in seven breaks or half the
+    // nodes turn a tenant away they would spend the whole budget. What reached no node multiplies nothing.
     static final double BROKEN_PRICE = 0.25;
     // A hedge may turn out needless and costs its second cache a miss: it is dearer than a further attempt.
     static final double HEDGE_PRICE = 5;
@@ -598,7 +598,8 @@
             send(r, null, now, out);
         } else {
             boolean unworked = o == Outcome.RESET || o.neverRan;
-            retry(r, unworked ? BROKEN_PRICE : 1, now, out);
+            boolean unreached = o == Outcome.CONNECT_FAILED || o == Outcome.NOT_SENT;
+            retry(r, unreached ? 0 : unworked ? BROKEN_PRICE : 1, now, out);
         }
     }
 
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -636,6 +636,21 @@
         }
     }
 
+    /**
+     * Danger: where a third of the connections came up late, dials that failed spent the retry budget, and what had
+     * reached no node was refused or failed after its first attempt.
+     */
+    @Test
+    void whatReachedNoNodeIsSentOnWithoutARetryBudget() {
+        RoutingPolicy p = out.choice(Fixture.settings(Router.Effect.UNSAFE), 1, Fixture.nodes(40));
+        for (int i = 0; i < 20; i++) {
+            p.onRequest(i * MS, Fixture.request(i, 1 + i, S), out);
+            int before = out.sent.size();
+            out.outcome(p, i * MS, i, 0, Router.Outcome.CONNECT_FAILED);
+            assertEquals(before + 1, out.sent.size(), "request " + i);
+        }
+    }
+
     /** The so many-th key whose first candidate of two nodes is this one. */
     private static long keyOf(int node, int which) {
         for (long key = 1;; key++) {
