Attempts that wait to begin are taken back when their node is told to drain

From the code: after a pause a request is read and its node chosen, and the attempt waits two passes of the loop for what else lies there; a change of the list read in these did not take it back, and it began at the node that drains. Attempts that wait for a dial went the same way.

Now a pool whose node takes nothing new gives back what has not begun, and the module, which has the list by then, chooses another. Such an attempt used no connection, and no longer passes for one that left its connection idle.

--- a/src/main/java/holdproxy/RoutingPolicy.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -488,6 +488,9 @@
     private void released(InFlightRequest r, int attempt, Outcome o, long now, Actions out) {
         Backend t = r.node[attempt];
         double limit = idleLimit(now);
+        if (o == Outcome.NOT_SENT) {
+            return; // none was used
+        }
         if (fleet.isOrigin(t)) {
             return; // one that all share: a handshake there costs the most when it is slow
         }
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -161,7 +161,7 @@
         throw new BadInput("version is missing from the list");
     }
 
-    private List<Entry> entries(Map<String, Object> list) {
+    List<Entry> entries(Map<String, Object> list) {
         if (!(list.get("servers") instanceof List<?> servers)) {
             throw new BadInput("servers is missing from the list");
         }
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
+import java.util.List;
 
 /** One connection to a cache node, with the attempts on it in the order of their answers. */
 final class NodeConnection extends SimpleChannelInboundHandler<Answer> {
@@ -42,6 +43,15 @@
         return line.size();
     }
 
+    /** Adds its attempts that have not begun and are not over. */
+    void addWaiting(List<Attempt> waiting) {
+        for (Attempt a : line) {
+            if (!a.begun && !a.over) {
+                waiting.add(a);
+            }
+        }
+    }
+
     boolean usable() {
         return !closed && !retired && (!up || channel.isActive());
     }
--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -104,9 +104,16 @@
         }
     }
 
+    /**
+     * The node takes nothing new. What still waits to begin here, for a connection or for the loop to catch
+     * up after a pause, is taken back: it could begin later than the grace for drains.
+     */
     void leave() {
         left = true;
         closeIdle();
+        List<Attempt> waiting = new ArrayList<>();
+        all.forEach(c -> c.addWaiting(waiting));
+        waiting.forEach(pools.proxy::takeBack);
     }
 
     void listed(InetSocketAddress now) {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -401,7 +401,7 @@
             concluded(x);
             // the module may not be allowed to take attempts back; what has not begun was never sent
             x.attempts.stream().filter(a -> !a.over && !a.begun)
-                .toList().forEach(a -> giveUp(a, Router.Outcome.NOT_SENT));
+                .toList().forEach(this::takeBack);
             event(() -> router.onAborted(now(), x.id, this));
         }
     }
@@ -483,6 +483,11 @@
                 && now - a.sentUs > a.waitUs + TICK_US;
     }
 
+    /** The attempt, which has not begun, is not to be made: the module may choose another node for it. */
+    void takeBack(Attempt a) {
+        giveUp(a, Router.Outcome.NOT_SENT);
+    }
+
     private void giveUp(Attempt a, Router.Outcome outcome) {
         if (!a.over) {
             // what was never written whole cannot run: the module may refuse it or send it elsewhere
--- /dev/null
+++ b/src/test/java/holdproxy/net/DrainedNodeTest.java
@@ -0,0 +1,52 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import holdproxy.Router;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A cache node that is told to drain while attempts wait to begin there. */
+@Timeout(60)
+class DrainedNodeTest {
+    private static final Command.Names NAMES = new Command.Names(Map.of("lookup", 0), Map.of("acme", 0));
+
+    /**
+     * Danger: after a pause of the loop a request is read first and its node chosen, and the attempt waits until
+     * more has been read. The change of the list lies there too; the attempt then went to the node that drains.
+     */
+    @Test
+    void anAttemptThatWaitsToBeginGoesElsewhereOnceItsNodeDrains() throws Exception {
+        try (Fixture f = new Fixture(2)) {
+            Peer client = f.client();
+            client.send(Fixture.read("w1", 4000));
+            Peer node = null;
+            int first = 1;
+            while (node == null) {
+                first = 1 - first;
+                node = f.nodes.get(first).poll();
+            }
+            assertTrue(node.line().contains(" Ow1 "));
+            node.send("VA 1 Ow1\r\n1\r\n");
+            client.expect("VA 1 Ow1", "1");
+            String drains = Fixture.list(2, false, f.entry(first, "DRAINING"));
+            f.loop.submit(() -> {
+                f.proxy.catchUp.begin(); // as after a pause
+                ClientSession session = f.proxy.admission.all().get(0);
+                String line = Fixture.read("a1", 4000).trim();
+                session.channelRead0(null, new Command(line, line.split(" "), false, NAMES));
+                List<Discovery.Entry> told = f.proxy.discovery.entries(JSON.std.mapFrom(drains));
+                f.proxy.nodes(Router.ListKind.DELTA, told);
+                return null;
+            }).get();
+            Peer other = f.nodes.get(1 - first).next();
+            assertTrue(other.line().contains(" Oa1 "));
+            other.send("VA 1 Oa1\r\n2\r\n");
+            client.expect("VA 1 Oa1", "2");
+            node.expectEnd(); // and nothing came on it before
+        }
+    }
+}
