Membership of the proxies after SWIM, off unless the configuration has the key cluster

A package of its own, holdproxy.cluster, without sockets and with the clock given in: one probe a period in an order shuffled anew, indirect probes through three others, suspicion for 4 x log10(members) periods, refutation by incarnation (the start's Unix time, raised by one), statements that travel on messages, messages of 256 bytes at most with version, group and checksum. The period follows from the bytes a second that it may take. Dead members are pinged now and then, so that one that was paused or cut off is taken back; suspects are pinged at once; a pause of the process itself makes it suspect nobody.

PeerLink binds peer_listen and drops and counts what is no message of the group or comes from elsewhere than its sender's address. Without the key nothing is bound or sent.

--- /dev/null
+++ b/src/main/java/holdproxy/cluster/UpdateQueue.java
@@ -0,0 +1,53 @@
+package holdproxy.cluster;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The newest statement about each member that still has to be spread, with how often it was sent. */
+final class UpdateQueue {
+    private static final class Entry {
+        private final MemberUpdate update;
+        private int sent;
+
+        private Entry(MemberUpdate update) {
+            this.update = update;
+        }
+    }
+
+    private static final Comparator<Entry> LEAST_SENT_FIRST = Comparator.comparingInt(e -> e.sent);
+
+    private final Map<Integer, Entry> byMember = new HashMap<>();
+
+    /** Replaces what was to be spread about the same member. */
+    void add(MemberUpdate update) {
+        byMember.put(update.member(), new Entry(update));
+    }
+
+    int size() {
+        return byMember.size();
+    }
+
+    /**
+     * The least sent ones, at most {@code limit}; each counts as sent once more, and is dropped once it was
+     * sent {@code transmissions} times.
+     */
+    List<MemberUpdate> take(int limit, int transmissions) {
+        if (byMember.isEmpty() || limit == 0) {
+            return new ArrayList<>();
+        }
+        List<Entry> entries = new ArrayList<>(byMember.values());
+        entries.sort(LEAST_SENT_FIRST);
+        List<MemberUpdate> taken = new ArrayList<>();
+        for (Entry e : entries.subList(0, Math.min(limit, entries.size()))) {
+            taken.add(e.update);
+            e.sent++;
+            if (e.sent >= transmissions) {
+                byMember.remove(e.update.member());
+            }
+        }
+        return taken;
+    }
+}
--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -11,6 +11,7 @@
 import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,19 @@
     final List<?> kinds;
     /** The list as last had, in discovery's form. */
     final Map<String, Object> known;
+    /** Null unless the configuration turns membership on. */
+    final Cluster cluster;
+
+    /**
+     * Membership among the proxies of the tier.
+     *
+     * @param peers the addresses of all, this one included, by their numbers in the settings
+     * @param bytesPerSecond what this proxy's messages may take, headers included
+     */
+    record Cluster(InetSocketAddress listen, List<InetSocketAddress> peers, int bytesPerSecond) {
+        /** An eighth of what a proxy's control traffic may take at 730 proxies; lists take most of that. */
+        private static final int DEFAULT_BYTES_PER_SECOND = 1400;
+    }
 
     private Config(Map<String, String> env, boolean again) {
         name = variable(env, "LB_NAME");
@@ -54,6 +68,7 @@
         }
         zones = list(raw, "localities");
         kinds = list(raw, "kinds");
+        cluster = json.containsKey("cluster") ? cluster(json) : null;
     }
 
     static Config load(Map<String, String> env) {
@@ -65,6 +80,27 @@
         return new Config(env, true);
     }
 
+    private Cluster cluster(Map<String, Object> json) {
+        Map<String, Object> raw = object(json, "cluster", "the configuration");
+        if (!settings.mayTell) {
+            throw new BadInput("cluster is set, but the settings allow no messages between proxies");
+        }
+        List<InetSocketAddress> peers = new ArrayList<>();
+        for (Object peer : list(json, "peers")) {
+            peers.add(address(String.valueOf(peer), "a peer in the configuration"));
+        }
+        if (peers.size() != settings.routers || settings.index >= peers.size()) {
+            throw new BadInput("peers in the configuration names " + peers.size() + " proxies, the settings "
+                    + settings.routers);
+        }
+        Object bytes = raw.getOrDefault("bytesPerS", Cluster.DEFAULT_BYTES_PER_SECOND);
+        if (!(bytes instanceof Number n) || n.intValue() < 1) {
+            throw new BadInput("cluster.bytesPerS in the configuration is not a number of at least 1");
+        }
+        String listens = text(json, "peer_listen", "the configuration");
+        return new Cluster(address(listens, "peer_listen"), List.copyOf(peers), n.intValue());
+    }
+
     private static String variable(Map<String, String> env, String name) {
         String value = env.get(name);
         if (value == null || value.isBlank()) {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -74,6 +74,8 @@
     final Budget ahead = new Budget(MOST_AHEAD_BYTES);
     private final NodePools pools;
     final Discovery discovery;
+    /** Null unless the configuration turns membership on. */
+    final PeerLink peerLink;
     private final Router router;
     private final Map<Long, Exchange> table = new HashMap<>();
     /** The ids that clients gave to what is in the table. */
@@ -114,6 +116,7 @@
         }
         pools = new NodePools(this, config, loop, log, left - mostSessions - Admission.MOST_BEYOND);
         discovery = new Discovery(this, config, loop, log);
+        peerLink = config.cluster == null ? null : new PeerLink(config, loop, log, this::now);
         // last: it sets timers at once, and a proxy that can't start for a bad list must call nobody
         router = new RoutingPolicy(config.settings, config.seed, now(), this);
     }
@@ -222,6 +225,9 @@
         if (!config.settings.askForNodes) {
             discovery.watch();
         }
+        if (peerLink != null) {
+            peerLink.open();
+        }
     }
 
     private ChannelInitializer<Channel> clients() {
@@ -511,6 +517,11 @@
         }
     }
 
+    /** How many cache nodes the list names now, those that drain included. */
+    int nodesListed() {
+        return loop.submit(listed::size).syncUninterruptibly().getNow();
+    }
+
     private void left(int id, boolean gone) {
         pools.leave(id, gone);
         if (gone) {
@@ -618,6 +629,9 @@
         loop.execute(() -> {
             draining = true;
             log.line("ending: " + table.size() + " requests open");
+            if (peerLink != null) {
+                peerLink.close();
+            }
             if (listener == null) {
                 finishDrain(); // nobody could come yet
             } else {
--- a/src/scale/java/holdproxy/scale/virtual/VirtualExperiments.java
+++ b/src/scale/java/holdproxy/scale/virtual/VirtualExperiments.java
@@ -10,6 +10,6 @@
 
     public static List<Experiment> all() {
         return List.of(new DecisionCost(), new TenantFairness(), new ColdRamp(), new Connections(),
-            new DiscoveryCalls(), new RegionCut(), new RestartStorm());
+            new DiscoveryCalls(), new RegionCut(), new RestartStorm(), new MembershipRun());
     }
 }
--- /dev/null
+++ b/src/test/java/holdproxy/cluster/MembershipTest.java
@@ -0,0 +1,233 @@
+package holdproxy.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** One member's state machine, fed message by message. */
+class MembershipTest {
+    private static final long MS = 1000;
+    private static final long PERIOD = 1000 * MS;
+    private static final int SELF = 0;
+    private static final long INCARNATION = 100;
+
+    private record Sent(int to, Message message) { }
+
+    private final List<Sent> sent = new ArrayList<>();
+    private final List<String> changes = new ArrayList<>();
+    private long now;
+    private Membership membership;
+
+    private void start(int members) {
+        MembershipSettings settings = new MembershipSettings(members, SELF, PERIOD, 300 * MS, 3);
+        membership = new Membership(settings, INCARNATION, 1, 0, (to, m) -> sent.add(new Sent(to, m)),
+            (member, state, incarnation) -> changes.add(member + " " + state + " " + incarnation));
+    }
+
+    /** Runs the timer each time that it asks to, up to this time. */
+    private void runUntil(long endUs) {
+        long due = membership.onTimer(now);
+        while (due <= endUs) {
+            now = Math.max(now, due);
+            due = membership.onTimer(now);
+        }
+        now = endUs;
+    }
+
+    private Sent firstPing() {
+        while (sent.stream().noneMatch(s -> s.message instanceof Message.Ping)) {
+            runUntil(now + 10 * MS);
+        }
+        return sent.get(0);
+    }
+
+    private static Message.Ack ack(int from, Message ping, int acknowledged) {
+        return new Message.Ack(from, 5, ((Message.Ping) ping).sequence(), acknowledged, List.of());
+    }
+
+    private static MemberUpdate update(int member, MemberState state, long incarnation) {
+        return new MemberUpdate(member, state, incarnation);
+    }
+
+    private void tell(int from, MemberUpdate... updates) {
+        membership.onMessage(now, new Message.Ping(from, 5, 1, List.of(updates)));
+    }
+
+    @Test
+    void aPingIsAcknowledgedWithItsSequence() {
+        start(3);
+        membership.onMessage(0, new Message.Ping(2, 5, 77, List.of()));
+        Message.Ack answer = (Message.Ack) sent.get(0).message;
+        assertEquals(2, sent.get(0).to);
+        assertEquals(77, answer.sequence());
+        assertEquals(SELF, answer.acknowledged());
+        assertEquals(INCARNATION, answer.incarnation());
+    }
+
+    @Test
+    void aTargetThatAnswersIsNeitherAskedForThroughOthersNorSuspected() {
+        start(5);
+        Sent ping = firstPing();
+        membership.onMessage(now, ack(ping.to, ping.message, ping.to));
+        runUntil(now + 900 * MS);
+        assertTrue(sent.stream().noneMatch(s -> s.message instanceof Message.PingRequest));
+        assertEquals(MemberState.ALIVE, membership.state(ping.to));
+    }
+
+    @Test
+    void aTargetThatIsSilentIsProbedThroughOthersThenSuspectedThenDead() {
+        start(5);
+        Sent ping = firstPing();
+        runUntil(now + 310 * MS);
+        List<Sent> requests = sent.stream().filter(s -> s.message instanceof Message.PingRequest).toList();
+        assertEquals(3, requests.size());
+        requests.forEach(r -> assertEquals(ping.to, ((Message.PingRequest) r.message).target()));
+        assertTrue(requests.stream().noneMatch(r -> r.to == ping.to));
+        runUntil(now + 800 * MS);
+        assertEquals(MemberState.SUSPECT, membership.state(ping.to));
+        assertEquals(5, membership.liveMembers());
+        runUntil(now + 5 * PERIOD);
+        assertEquals(MemberState.DEAD, membership.state(ping.to));
+    }
+
+    @Test
+    void anAnswerThatWasPassedOnCounts() {
+        start(5);
+        Sent ping = firstPing();
+        runUntil(now + 310 * MS);
+        int through = sent.stream().filter(s -> s.message instanceof Message.PingRequest).findFirst().get().to;
+        membership.onMessage(now, ack(through, ping.message, ping.to));
+        runUntil(now + 800 * MS);
+        assertEquals(MemberState.ALIVE, membership.state(ping.to));
+    }
+
+    @Test
+    void itPingsForAnotherAndPassesTheAnswerOn() {
+        start(4);
+        membership.onMessage(0, new Message.PingRequest(1, 5, 40, 3, List.of()));
+        Sent ping = sent.get(0);
+        assertEquals(3, ping.to);
+        membership.onMessage(0, ack(3, ping.message, 3));
+        assertEquals(1, sent.get(1).to);
+        assertEquals(40, ((Message.Ack) sent.get(1).message).sequence());
+        assertEquals(3, ((Message.Ack) sent.get(1).message).acknowledged());
+    }
+
+    @Test
+    void anAnswerToAnEarlierProbeProvesNothing() {
+        start(2);
+        Sent ping = firstPing();
+        membership.onMessage(now, new Message.Ack(1, 5, ((Message.Ping) ping.message).sequence() - 1, 1, List.of()));
+        runUntil(now + PERIOD + 10 * MS);
+        assertEquals(MemberState.SUSPECT, membership.state(1));
+    }
+
+    @Test
+    void aSuspicionOfItselfIsRefutedByAHigherIncarnation() {
+        start(3);
+        tell(1, update(SELF, MemberState.SUSPECT, INCARNATION));
+        Message answer = sent.get(0).message;
+        assertEquals(INCARNATION + 1, answer.incarnation());
+        assertTrue(answer.updates().contains(update(SELF, MemberState.ALIVE, INCARNATION + 1)));
+    }
+
+    @Test
+    void anOldSuspicionOfItselfIsNotAnswered() {
+        start(3);
+        tell(1, update(SELF, MemberState.DEAD, INCARNATION - 1));
+        assertEquals(INCARNATION, sent.get(0).message.incarnation());
+    }
+
+    @Test
+    void whatIsHeldChangesAlikeInWhateverOrderItIsTold() {
+        MemberUpdate[] told = {update(2, MemberState.ALIVE, 7), update(2, MemberState.SUSPECT, 7),
+            update(2, MemberState.DEAD, 6), update(2, MemberState.ALIVE, 8), update(2, MemberState.SUSPECT, 3)};
+        int[][] orders = {{0, 1, 2, 3, 4}, {3, 1, 4, 0, 2}, {4, 3, 2, 1, 0}, {1, 0, 3, 3, 2}, {2, 4, 1, 3, 0}};
+        for (int[] order : orders) {
+            start(3);
+            for (int i : order) {
+                tell(1, told[i]);
+            }
+            assertEquals(MemberState.ALIVE, membership.state(2));
+            assertEquals(8, membership.incarnation(2));
+        }
+    }
+
+    @Test
+    void aDeadMemberIsTakenBackAtAHigherIncarnationOnly() {
+        start(3);
+        tell(1, update(2, MemberState.DEAD, 9));
+        assertEquals(2, membership.liveMembers());
+        tell(1, update(2, MemberState.ALIVE, 9));
+        assertEquals(MemberState.DEAD, membership.state(2));
+        tell(1, update(2, MemberState.ALIVE, 10));
+        assertEquals(MemberState.ALIVE, membership.state(2));
+        assertEquals(3, membership.liveMembers());
+        assertEquals(List.of("2 DEAD 9", "2 ALIVE 10"), changes);
+    }
+
+    /** A message of a process that was held dead tells it first of all what is held of it. */
+    @Test
+    void whoIsHeldDeadIsToldSoWithTheNextMessage() {
+        start(3);
+        tell(1, update(2, MemberState.DEAD, 9));
+        sent.clear();
+        membership.onMessage(now, new Message.Ping(2, 9, 3, List.of()));
+        assertEquals(update(2, MemberState.DEAD, 9), sent.get(0).message.updates().get(0));
+    }
+
+    @Test
+    void aDeadMemberIsPingedNowAndThen() {
+        start(3);
+        tell(1, update(2, MemberState.DEAD, 9));
+        sent.clear();
+        runUntil(now + 4 * PERIOD);
+        assertTrue(sent.stream().anyMatch(s -> s.to == 2 && s.message instanceof Message.Ping
+            && s.message.updates().contains(update(2, MemberState.DEAD, 9))));
+    }
+
+    /** Danger: resumed after a pause, a process held all others dead whose answers it had not read yet. */
+    @Test
+    void aPauseOfItsOwnMakesItSuspectNobody() {
+        start(4);
+        Sent ping = firstPing();
+        tell(1, update(2, MemberState.SUSPECT, 5));
+        now += 60 * PERIOD;
+        membership.onTimer(now);
+        assertEquals(MemberState.ALIVE, membership.state(ping.to == 2 ? 1 : ping.to));
+        assertEquals(MemberState.SUSPECT, membership.state(2));
+    }
+
+    @Test
+    void theMajorityIsOfAllThatAreConfigured() {
+        start(4);
+        assertTrue(membership.holdsMajority());
+        tell(1, update(2, MemberState.DEAD, 1));
+        assertTrue(membership.holdsMajority());
+        tell(1, update(3, MemberState.DEAD, 1));
+        assertFalse(membership.holdsMajority());
+    }
+
+    @Test
+    void whoLeavesTellsOthersAndSaysNothingMore() {
+        start(6);
+        membership.leave();
+        assertEquals(4, sent.size());
+        sent.forEach(s -> assertEquals(List.of(update(SELF, MemberState.DEAD, INCARNATION)), s.message.updates()));
+        membership.onMessage(0, new Message.Ping(2, 5, 77, List.of()));
+        runUntil(3 * PERIOD);
+        assertEquals(4, sent.size());
+    }
+
+    @Test
+    void thePeriodFollowsFromTheBytesThatItMayTake() {
+        assertEquals(200 * MS, MembershipSettings.within(11_000, 730, 0).periodUs());
+        assertEquals(405_714, MembershipSettings.within(1400, 730, 0).periodUs());
+        assertEquals(4 * MembershipSettings.within(1400, 10, 0).suspicionUs(),
+            MembershipSettings.within(1400, 10_000, 0).suspicionUs(), 4);
+    }
+}
--- /dev/null
+++ b/src/test/java/holdproxy/cluster/MessageCodecTest.java
@@ -0,0 +1,111 @@
+package holdproxy.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class MessageCodecTest {
+    private static final int GROUP = 0x5eed;
+    private static final int MEMBERS = 1100;
+
+    private final MessageCodec codec = new MessageCodec(GROUP, MEMBERS);
+
+    private static List<MemberUpdate> updates(int count) {
+        List<MemberUpdate> updates = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            updates.add(new MemberUpdate(MEMBERS - 1 - i, MemberState.values()[i % 3], 1_700_000_000_000L + i));
+        }
+        return updates;
+    }
+
+    private String failure(byte[] datagram) {
+        return assertThrows(MalformedMessageException.class, () -> codec.decode(datagram)).getMessage();
+    }
+
+    @Test
+    void everyKindOfMessageComesBackAsItWasSent() throws Exception {
+        List<Message> messages = List.of(new Message.Ping(3, 7, -5, updates(0)),
+            new Message.PingRequest(1099, 1L << 48, 9, 1098, updates(1)),
+            new Message.Ack(0, 0, Integer.MAX_VALUE, 1099, updates(MessageCodec.MAX_UPDATES)));
+        for (Message m : messages) {
+            byte[] datagram = codec.encode(m);
+            assertTrue(datagram.length <= MessageCodec.MAX_BYTES, "bytes: " + datagram.length);
+            assertEquals(m, codec.decode(datagram));
+        }
+    }
+
+    @Test
+    void moreUpdatesThanFitAreNotEncoded() {
+        Message m = new Message.Ping(0, 0, 0, updates(MessageCodec.MAX_UPDATES + 1));
+        assertThrows(IllegalArgumentException.class, () -> codec.encode(m));
+    }
+
+    @Test
+    void aCutOrLengthenedDatagramIsNoMessage() {
+        byte[] whole = codec.encode(new Message.Ping(3, 7, 5, updates(4)));
+        for (int length = 0; length < whole.length; length++) {
+            failure(Arrays.copyOf(whole, length));
+        }
+        failure(Arrays.copyOf(whole, whole.length + 1));
+        failure(new byte[MessageCodec.MAX_BYTES + 1]);
+    }
+
+    @Test
+    void oneChangedBitIsSeen() {
+        byte[] whole = codec.encode(new Message.Ack(3, 7, 5, 3, updates(4)));
+        for (int bit = 0; bit < 8 * whole.length; bit++) {
+            byte[] changed = whole.clone();
+            changed[bit / 8] ^= (byte) (1 << bit % 8);
+            failure(changed);
+        }
+    }
+
+    @Test
+    void anotherGroupOrVersionIsRefused() {
+        assertEquals("group", failure(new MessageCodec(GROUP + 1, MEMBERS).encode(new Message.Ping(0, 0, 0, updates(0)))));
+        byte[] other = codec.encode(new Message.Ping(0, 0, 0, updates(0)));
+        other[1] = MessageCodec.VERSION + 1;
+        assertEquals("version", failure(other));
+    }
+
+    @Test
+    void aMemberThatDoesNotExistIsRefused() {
+        MessageCodec larger = new MessageCodec(GROUP, MEMBERS + 1);
+        assertEquals("member", failure(larger.encode(new Message.Ping(MEMBERS, 0, 0, updates(0)))));
+        assertEquals("member", failure(larger.encode(new Message.PingRequest(0, 0, 0, MEMBERS, updates(0)))));
+        MemberUpdate stranger = new MemberUpdate(MEMBERS, MemberState.DEAD, 1);
+        assertEquals("member", failure(larger.encode(new Message.Ping(0, 0, 0, List.of(stranger)))));
+    }
+
+    @Test
+    void anIncarnationThatCouldNotBeRaisedIsRefused() {
+        MemberUpdate highest = new MemberUpdate(1, MemberState.DEAD, Long.MAX_VALUE);
+        assertEquals("incarnation", failure(codec.encode(new Message.Ping(0, 0, 0, List.of(highest)))));
+        assertEquals("incarnation", failure(codec.encode(new Message.Ping(0, -1, 0, updates(0)))));
+    }
+
+    /** Whatever comes, it is a message or a {@link MalformedMessageException}. */
+    @Test
+    void randomBytesEndInNothingElse() {
+        SplittableRandom random = new SplittableRandom(20261202);
+        byte[] whole = codec.encode(new Message.Ping(3, 7, 5, updates(9)));
+        for (int i = 0; i < 200_000; i++) {
+            byte[] datagram = i % 2 == 0 ? new byte[random.nextInt(300)] : whole.clone();
+            int changes = i % 2 == 0 ? datagram.length : 1 + random.nextInt(6);
+            for (int c = 0; c < changes; c++) {
+                datagram[random.nextInt(datagram.length)] = (byte) random.nextInt(256);
+            }
+            try {
+                codec.decode(datagram);
+            } catch (MalformedMessageException e) {
+                assertTrue(!e.getMessage().isEmpty());
+            }
+        }
+    }
+}
