--- /dev/null
+++ b/src/test/java/holdproxy/net/ManyNodesTest.java
@@ -0,0 +1,62 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** More cache nodes and proxies than any list here may be capped at. */
+@Timeout(60)
+class ManyNodesTest {
+    private static final int MANY = 1100;
+    private static final int REQUESTS = 200;
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void aProxyServesWithElevenHundredNodesAndProxies() throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try (Peer.Listener node = new Peer.Listener()) {
+            Proxy proxy = Proxy.start(Config.load(Fixture.env(config(node.address()), "127.0.0.1:1")), loop);
+            assertEquals(MANY, proxy.nodesListed());
+            try (Peer client = Peer.to(proxy.address())) {
+                for (int i = 0; i < REQUESTS; i++) {
+                    client.send("mg " + Integer.toHexString(0x1000 + i) + " v Or" + i + " Pc=lookup,t=acme,d=4000\r\n");
+                    Peer served = node.next(); // each at a node of its own, which has no connection yet
+                    assertTrue(served.line().contains(" Or" + i + " "));
+                    served.send("VA 1 Or" + i + "\r\n1\r\n");
+                    client.expect("VA 1 Or" + i, "1");
+                    served.close();
+                }
+            }
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private Path config(String address) throws Exception {
+        List<String> entries = new ArrayList<>();
+        List<String> peers = new ArrayList<>();
+        for (int i = 0; i < MANY; i++) {
+            entries.add("{\"id\":\"s-" + i + "\",\"addr\":\"" + address + "\",\"zone\":\"east\",\"kind\":\"full\","
+                + "\"cell\":1,\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}");
+            peers.add("\"127.0.0.1:" + (20_000 + i) + "\"");
+        }
+        String settings = Fixture.SETTINGS.replace("\"balancers\":1", "\"balancers\":" + MANY);
+        String json = Fixture.json(Fixture.list(1, true, entries.toArray(String[]::new)), settings, 1024);
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, json.replaceFirst("\\{", "{\"peers\":[" + String.join(",", peers) + "],"));
+        return file;
+    }
+}
