--- a/src/main/java/holdproxy/Backend.java
+++ b/src/main/java/holdproxy/Backend.java
@@ -17,7 +17,7 @@
     final DecayingValue busy = new DecayingValue(RoutingPolicy.BUSY_FADE_US);
 
     /** What it answered to us. */
-    final DecayingValue served = new DecayingValue(RoutingPolicy.RATE_US);
+    final DecayingValue served = new DecayingValue(ArrivalRate.WINDOW_US);
     /** While it is cold: what is left of our budget, and when it was last added to; MIN_VALUE: not yet. */
     double tokens = 1;
     long tokensAt = Long.MIN_VALUE;
--- a/src/main/java/holdproxy/Router.java
+++ b/src/main/java/holdproxy/Router.java
@@ -272,8 +272,12 @@
     void onTimer(long nowUs, long label, Actions out);
 
     /** Result of a {@link Actions#probe}. */
-    void onProbe(long nowUs, int node, Outcome outcome, long latencyUs, Report report, Actions out);
+    default void onProbe(long nowUs, int node, Outcome outcome, long latencyUs, Report report, Actions out) {
+        // an instance that asks for none needs not hear of any
+    }
 
     /** A message that another router of the tier sent with {@link Actions#tell}; it may be late or lost. */
-    void onTold(long nowUs, int router, byte[] data, Actions out);
+    default void onTold(long nowUs, int router, byte[] data, Actions out) {
+        // the ordinary path and every rule hold without messages
+    }
 }
--- a/src/main/java/holdproxy/RoutingPolicy.java
+++ b/src/main/java/holdproxy/RoutingPolicy.java
@@ -9,41 +9,10 @@
  * Scale" (M. Sathe), with two hashed candidates per key. The comments name what departs from it and when.
  */
 public final class RoutingPolicy implements Router {
-    // FAIR: levels x buckets, as many as there are tenants: where h of them fail, another shares all its
-    // buckets with some of these by chance (h / buckets)^3 at most. 36 bytes a bucket in each of two tables:
-    // 5 KB at up to 64 tenants, 0.3 MB at 3,000 (about what their rates take), 1.2 MB at most.
-    static final int LEVELS = 3;
-    static final int BUCKETS_LEAST = 64;
-    static final int BUCKETS_MOST = 1 << 14;
-    // FAIR: failures running take a chance from 0 to 1; a success takes back a hundredth of one. A step
-    // follows the tenant's rate (EVIDENCE_S) down to this: held at 0.04, 1% of failures at 100 requests a
-    // second outran the fading and filled a bucket.
-    static final double PI = 0.002;
-    static final double PD_SHARE = 0.01;
-    // A step is such that this many seconds of a tenant's own failures would fill a bucket.
-    static final double EVIDENCE_S = 2.5;
-    static final double PI_MOST = 0.8;
-    // Redemption: a chance fades by 1/e in this time, so that a refused tenant is tried again within seconds.
-    static final double TENANT_FADE_US = 10e6;
     static final double NODE_FADE_US = 5e6;
     // A quiet proxy comes by a node rarely: what it learnt there has to last for about this many visits.
     static final double NODE_FADE_VISITS = 2;
     static final double NODE_FADE_MOST_US = 60e6;
-    // Fresh seeds this often; several fading times, so that the shadow has learnt what the live table knows.
-    static final long ROTATE_US = 60_000_000;
-    // Own rates and the sketch of hot keys are counted over about this time.
-    static final double RATE_US = 10e6;
-    // Quota weight: this many requests of doubt on either side, and at most this much more than one step.
-    static final double QUOTA_DOUBT = 3;
-    static final double QUOTA_MOST = 4;
-    static final double RATIO_LEARN = 1.0 / 64;
-    // A choked fleet heals only at a fraction of its load: failures running without one success prove it.
-    static final double CONSECUTIVE_TELLS = 3;
-    static final double CONSECUTIVE_MOST = 4;
-    // While they run, chances fade up to so many times slower: many proxies' trials keep a fleet choked.
-    static final double FADE_MOST = 8;
-    // A trial always gets through: no bucket refuses or passes over more often than this.
-    static final double CHANCE_MOST = 0.98;
     // A time-out or late answer says less of a node than a broken connection, an error or a full queue.
     static final double SOFT = 0.5;
     // By rate like a tenant's step: held at 0.1, one broken connection in seven passed every node over.
@@ -69,12 +38,6 @@
     static final double HOT_SHARE = 0.5;
     static final double HOT_KEY_US = 20e6;
     static final int HOT_KEY_BUCKETS = 256;
-    // Part of a cold node's capacity that admitted keys may fill at first: each miss costs it extra work.
-    static final double COLD_PART = 0.4;
-    // Its bucket of tokens holds this part of what comes in while it falls; two where a proxy sends it few.
-    static final double BUCKET_DEPTH = 0.25;
-    static final double BUCKET_LEAST = 2;
-    static final long WARM_RATE_EVERY_US = 50_000;
     // Retry budget: further attempts and hedged requests are paid from what requests earn.
     static final double RETRY_BUDGET_EARN = 0.1;
     static final double RETRY_BUDGET_MOST = 10;
@@ -89,24 +52,13 @@
     static final double HEDGE_SOONEST = 0.3;
     static final double HEDGE_LATEST = 0.6;
     // The adaptive idle time-out: a failure cuts it by e, a use of a connection that had idled wins it back.
-    // However often, the time stays above what a used one rests: at 12 it fell to 0.2 ms, nothing was reused
-    // that could win it back, and each request paid for a handshake.
+    // It stays above what a used one rests: at 12 it fell to 0.2 ms, and nothing was reused to win it back.
     static final double IDLE_CUT_STEP = 1;
     static final double IDLE_CUT_MOST = 4;
     static final double IDLE_CUT_FADE_US = 60e6;
     // A node that takes no connection and answers within this time on another has no place left; one that
     // answers nothing is down. Held against all connections, 15 nodes gone cost one for each request.
     static final long FULL_US = 2_000_000;
-    // Discovery: first calls spread over this part of the time in which an instance has to ask.
-    static final double ASK_SPREAD = 0.8;
-    static final double ASK_US_PER_ROUTER = 400_000;
-    // Whatever failed, a change counts as told so long after discovery had it and could be reached. The sum:
-    // 2 s at most from a first call's moment, or from a call that fails, to the next; 3 s until one that
-    // waits in vain is failed or given up; half a second until it is made again; and as much for its answer.
-    static final long TOLD_US = 6_000_000;
-    // Where lists are pushed: pauses as a share of the grace for drains, and of this where none is stated.
-    static final double ASK_PUSHED = 0.4;
-    static final long ASK_PUSHED_LEAST_US = 250_000;
     static final long REPORT_EVERY_US = 20_000_000;
     static final String REPORT = "%s: origin chance %.2f, failures running %.0f, list calls failed %d";
     static final int ATTEMPTS_MOST = 8;
@@ -116,127 +68,71 @@
     private final Settings set;
     private final int attemptsMost;
     private final Random random;
-    private Blue live;
-    private Blue shadow;
+    private final TenantAdmission tenants;
     private final Blue hotKeys; // a sketch: counts of keys, decayed
     private final DecayingValue hotKeyCount = new DecayingValue(HOT_KEY_US);
-    private long rotateAt;
-    private final DecayingValue[] asked;
-    private final DecayingValue[] admitted;
+    private final DiscoveryPacing discovery;
+    private final SlowStart slowStart;
+    private double retryBudget = RETRY_BUDGET_FIRST;
+    private final ArrivalRate arrivals;
     private final double leastWorth;
-    private final boolean quotasKnown;
     private double meanChance;
-    private double meanRatio = 1;
-    private double consecutiveFailures;
     private long reportAt = Long.MIN_VALUE;
-    private final DecayingValue all = new DecayingValue(RATE_US);
-    private final long startedAt;
-    private double retryBudget = RETRY_BUDGET_FIRST;
     private double meanUs;
     private double devUs;
     private final LongMap<InFlightRequest> open = new LongMap<>();
     private final Fleet fleet;
     private final DecayingValue originChance = new DecayingValue(NODE_FADE_US);
     private final DecayingValue idleCut = new DecayingValue(IDLE_CUT_FADE_US);
-    private final long ownSalt;
-    private double warmRate;
-    private long warmRateAt = Long.MIN_VALUE / 2;
-    private boolean subscribed;
-    /** The watch that was subscribed to has told something. */
-    private boolean watched;
-    private int askFailures;
-    private long askedAt;
 
     public RoutingPolicy(Settings settings, long seed, long nowUs, Actions out) {
         settings.check();
         set = settings;
         attemptsMost = Math.min(ATTEMPTS_MOST, settings.maxAttempts);
         random = new Random(seed);
-        startedAt = nowUs;
-        int buckets = buckets(settings.tenants.length);
-        live = new Blue(LEVELS, buckets, TENANT_FADE_US, random.next());
-        shadow = new Blue(LEVELS, buckets, TENANT_FADE_US, random.next());
-        hotKeys = new Blue(LEVELS, HOT_KEY_BUCKETS, HOT_KEY_US, random.next());
-        rotateAt = nowUs + (long) (ROTATE_US * (0.5 + 0.5 * random.unit()));
+        long liveSeed = random.next();
+        long shadowSeed = random.next();
+        hotKeys = new Blue(TenantAdmission.LEVELS, HOT_KEY_BUCKETS, HOT_KEY_US, random.next());
+        long rotateAt = nowUs + (long) (TenantAdmission.ROTATE_US * (0.5 + 0.5 * random.unit()));
+        tenants = new TenantAdmission(settings, random, liveSeed, shadowSeed, rotateAt);
+        arrivals = new ArrivalRate(nowUs);
         fleet = new Fleet(settings);
-        ownSalt = random.next();
+        slowStart = new SlowStart(settings, fleet, hotKeyCount, arrivals, random.next());
+        discovery = new DiscoveryPacing(settings, random);
         leastWorth = Math.max(1e-6, Arrays.stream(set.classes).mapToDouble(c -> c.worth).min().orElse(1));
-        quotasKnown = Arrays.stream(set.tenants).anyMatch(t -> t.quotaPerS > 0);
-        asked = DecayingValue.array(Math.max(1, settings.tenants.length), RATE_US);
-        admitted = DecayingValue.array(asked.length, RATE_US);
         if (settings.askForNodes) {
-            // a thousand proxies starting together would swamp discovery: each takes its own moment
-            double spread = Math.min(ASK_SPREAD * settings.askWithinUs, ASK_US_PER_ROUTER * settings.routers);
-            out.timer((long) (random.unit() * Math.min(spread, TOLD_US / 3)), TIMER_ASK);
+            out.timer(discovery.first(), TIMER_ASK);
         }
     }
 
-    /** The power of two that holds so many tenants. */
-    static int buckets(int tenants) {
-        int wanted = Math.max(BUCKETS_LEAST, Math.min(BUCKETS_MOST, tenants));
-        return Integer.highestOneBit(2 * wanted - 1);
-    }
-
     // ---- the node list ----
 
     @Override
     public void onNodes(long now, ListKind kind, Node[] nodes, int count, Actions out) {
         if (kind == ListKind.FAILED || kind == ListKind.SILENT) {
-            subscribed = false;
             report(now, "node list call failed", out);
-            out.timer((long) askPause(now - askedAt), TIMER_ASK);
-            watched = false;
+            out.timer(discovery.failed(now), TIMER_ASK);
             return;
         }
-        watched = subscribed && kind != ListKind.CACHED;
-        askFailures = 0;
+        discovery.told(kind);
         fleet.apply(kind, nodes, count);
-        warmRateAt = Long.MIN_VALUE / 2;
-    }
-
-    /** How long to rest after a call that took so long, or after a watch that had told something. */
-    private double askPause(long took) {
-        askFailures += watched ? 0 : 1;
-        double unit = random.unit();
-        if (!set.askForNodes) {
-            // what an agent has counts as told from its return on: the whole pause is taken from that grace
-            return ASK_PUSHED * Math.max(ASK_PUSHED_LEAST_US, set.drainGraceUs) * (0.5 + unit);
-        }
-        double third = Math.min(TOLD_US / 4, set.askWithinUs) / 3.0;
-        if (watched) {
-            // a fleet's watches end together: each proxy comes back in its own part of the spread, since by
-            // chance alone a few would all come late in it, and wait for one another beyond their time
-            double spread = Math.min(2 * third, ASK_US_PER_ROUTER * set.routers);
-            return spread * (Math.floorMod(set.index, set.routers) + unit) / set.routers;
-        }
-        // its calls are refused together too
-        return Math.max(third * unit, third * (1 + 2 * unit) - took);
+        slowStart.listChanged();
     }
 
     // ---- arrival: the tenant's chance ----
 
     @Override
     public void onRequest(long now, Request q, Actions out) {
-        if (now >= rotateAt) {
-            Blue old = live;
-            live = shadow;
-            old.restart(random.next());
-            shadow = old;
-            rotateAt = now + ROTATE_US;
-        }
-        int tenant = q.tenant >= 0 && q.tenant < asked.length ? q.tenant : 0;
-        if (!q.repeat) {
-            asked[tenant].count(now); // what clients repeat after a refusal is not more demand
-        }
-        meanRatio += (quotaRatio(tenant, now) - meanRatio) * RATIO_LEARN;
-        all.count(now);
-        double chance = live.min(tenant, now);
+        int tenant = tenants.known(q.tenant);
+        tenants.arrived(tenant, q.repeat, now);
+        arrivals.count(now);
+        double chance = tenants.chance(tenant, now);
         if (chance > 0 && random.unit() < chance) {
             report(now, "refusing requests", out);
             out.refuse(q.id, retryAfter(chance));
             return;
         }
-        admitted[tenant].count(now);
+        tenants.admit(tenant, now);
         int type = Math.max(0, Math.min(q.requestClass, set.classes.length - 1));
         InFlightRequest r = new InFlightRequest(q, set.classes[type], tenant, now);
         open.put(r.id, r);
@@ -251,7 +147,8 @@
     private void report(long now, String what, Actions out) {
         if (now >= reportAt) {
             reportAt = now + REPORT_EVERY_US;
-            out.log(String.format(REPORT, what, originChance.get(now), consecutiveFailures, askFailures));
+            double running = tenants.consecutiveFailures();
+            out.log(String.format(REPORT, what, originChance.get(now), running, discovery.failures()));
         }
     }
 
@@ -289,7 +186,7 @@
         for (int i = 0; i < ranked.length && ranked[i] != null && seen < CHOICES; i++) {
             Backend t = ranked[i];
             boolean may = !r.tried(t) && mayResend(r, t, now);
-            if (may && slowStartAdmits(t, r, key, now) && !ejected(t, key, now)) {
+            if (may && slowStart.admits(t, r, key, now) && !ejected(t, key, now)) {
                 best = seen++ == 0 || lessBusy(r, t, best, now) ? t : best;
             }
         }
@@ -321,85 +218,6 @@
         return (int) Math.min(fleet.readyCount, copies);
     }
 
-    /**
-     * Slow start of cold nodes: every proxy admits the same growing set of keys; hot keys and further
-     * attempts stay away. As the sum of all proxies follows how popular the admitted keys are, each also
-     * keeps within its part of the budget N: what warm nodes take, times present capacity and the multiple
-     * at which a cold node falls.
-     */
-    private boolean slowStartAdmits(Backend t, InFlightRequest r, long key, long now) {
-        if (!isCold(t, now)) {
-            return true;
-        } else if (r.hot || r.attempts > 0) {
-            return false;
-        }
-        double warm = Math.max(0, (double) (now - t.startedUs) / set.coldUs);
-        double capacity = set.coldFrom + (1 - set.coldFrom) * warm;
-        double part = COLD_PART + (1 - COLD_PART) * warm;
-        if (slowStartLot(key, t.id) >= capacity * part) {
-            return false;
-        }
-        double budget = capacity * set.tipMultiple;
-        return budget == 0 || set.fallUs == 0
-                || tellsPopular(t, r, key, budget, now) && hasTokens(t, budget, now);
-    }
-
-    private boolean isCold(Backend t, long now) {
-        return t.startedUs != Long.MIN_VALUE && now - t.startedUs < set.coldUs;
-    }
-
-    static double slowStartLot(long key, int id) {
-        return Blue.unit(Blue.mix(key + 31 * Blue.mix(id)));
-    }
-
-    /**
-     * A proxy that is new or quiet can't tell the popular keys from the others: one asked for d times a
-     * node's even share is still unseen here with chance exp(-d x seen), seen being our requests for each
-     * node lately. Admitted by a lot of our own with chance e x budget x seen, such a key adds up to the
-     * budget at most over all proxies, whatever d is.
-     */
-    private boolean tellsPopular(Backend t, InFlightRequest r, long key, double budget, long now) {
-        double chance = Math.E * budget * hotKeyCount.get(now) / fleet.readyCount;
-        return r.key == 0 || chance >= 1 || slowStartLot(key ^ ownSalt, t.id) < chance;
-    }
-
-    /**
-     * A cold node's token bucket: full, and with what comes in while the node falls, it holds our part of N.
-     * So all proxies' buckets together stay within N, but for those of proxies so quiet that single requests
-     * exceed their part.
-     */
-    private boolean hasTokens(Backend t, double budget, long now) {
-        double rate = budget * t.weight * warmRate(now) / (1 + BUCKET_DEPTH);
-        double most = Math.max(BUCKET_LEAST, rate * set.fallUs * BUCKET_DEPTH);
-        long since = t.tokensAt == Long.MIN_VALUE ? now : t.tokensAt;
-        t.tokens = Math.min(most, t.tokens + rate * (now - since));
-        t.tokensAt = now;
-        return t.tokens >= 1;
-    }
-
-    /**
-     * Requests a microsecond and unit of weight that warm nodes lately answered to this proxy; where it knows
-     * none, the even share of what it is asked for.
-     */
-    private double warmRate(long now) {
-        if (now - warmRateAt >= WARM_RATE_EVERY_US) {
-            double served = 0;
-            double weight = 0;
-            double all = 0;
-            for (int i = 0; i < fleet.readyCount; i++) {
-                Backend t = fleet.ready[i];
-                all += t.weight;
-                if (!isCold(t, now)) {
-                    served += t.served.get(now);
-                    weight += t.weight;
-                }
-            }
-            warmRateAt = now;
-            warmRate = weight > 0 ? served / countedUs(now) / weight : rate(now) / 1e6 / all;
-        }
-        return warmRate;
-    }
-
     /**
      * Outlier ejection: a node is passed over by how far its chance is above the others', and still gets
      * trials: where all are slow, moving a key gains nothing and costs a fetch. The hash draws the lot, so
@@ -469,7 +287,7 @@
             closeIdle(t, out);
         }
         r.idledUs[r.attempts] = t.idleSince != Long.MIN_VALUE ? now - t.idleSince : -1;
-        t.tokens -= isCold(t, now) ? 1 : 0;
+        slowStart.spend(t, now);
         r.sent(t, now);
         out.send(r.id, t.id, giveUpAt(r) < r.due ? left : 0);
     }
@@ -508,7 +326,7 @@
             }
             t.idleSince = now;
             boolean freely = set.handshakePrice == 0 || limit < set.idleCloseUs / 2.0;
-            if (o == Outcome.TIMEOUT || freely && fleet.readyCount / rate(now) * 1e6 > limit) {
+            if (o == Outcome.TIMEOUT || freely && fleet.readyCount / arrivals.perSecond(now) * 1e6 > limit) {
                 closeIdle(t, out);
             }
         }
@@ -552,7 +370,7 @@
             return;
         }
         if (mayRefuse(r)) {
-            out.refuse(r.id, retryAfter(live.min(r.tenant, now)));
+            out.refuse(r.id, retryAfter(tenants.chance(r.tenant, now)));
         } else {
             out.fail(r.id);
         }
@@ -616,7 +434,7 @@
                 || slowError);
         if (fromOrigin || fetched) {
             boolean failed = !good || fetched && latency > r.type.aimUs;
-            step(originChance, failed, rate(now) * ORIGIN_PART, ORIGIN_WEIGHT, now);
+            step(originChance, failed, arrivals.perSecond(now) * ORIGIN_PART, ORIGIN_WEIGHT, now);
         }
         if (!fromOrigin && (good || !fetched)) {
             boolean lateHit = latency > r.type.aimUs && !fetched;
@@ -633,34 +451,21 @@
             boolean failed = late || o == Outcome.TIMEOUT || o == Outcome.OVERLOADED
                     || o == Outcome.ERROR && !set.aside;
             if (!fromOrigin && (failed || o == Outcome.OK)) {
-                consecutiveFailures = failed ? consecutiveFailures + 1 : 0;
+                tenants.attempted(failed);
             }
-            double fade = TENANT_FADE_US * Math.min(FADE_MOST, 1 + consecutiveFailures / CONSECUTIVE_TELLS);
-            live.fadeIn(fade);
-            shadow.fadeIn(fade);
             // blame: the origin's failures are its own first; so are a node's that fails more than others do,
             // but for tenants that run over their quota more than others do
-            boolean over = quotaRatio(r.tenant, now) > meanRatio;
+            boolean over = tenants.isOver(r.tenant, now);
             double known = fromOrigin || fetched ? originChance.get(now)
                     : over ? 0 : t.chance.get(now) - meanChance;
             double share = 1 - Math.max(0, known);
-            meanChance += (t.chance.get(now) - meanChance) * RATIO_LEARN;
-            tenantEvidence(r, failed, o == Outcome.OK, share, now);
+            meanChance += (t.chance.get(now) - meanChance) * TenantAdmission.RATIO_LEARN;
+            tenants.evidence(r, failed, o == Outcome.OK, share, now);
         }
     }
 
-    /** Requests a second here. */
-    private double rate(long now) {
-        return all.get(now) / countedUs(now) * 1e6;
-    }
-
-    /** The time over which a value fading in RATE_US has counted; and a second, as the first is chance. */
-    private double countedUs(long now) {
-        return RATE_US * (1 - Math.exp((startedAt - now) / RATE_US)) + 1e6;
-    }
-
     private void nodeEvidence(Backend t, boolean failure, double weight, long now) {
-        double rate = rate(now) / Math.max(1, fleet.readyCount);
+        double rate = arrivals.perSecond(now) / Math.max(1, fleet.readyCount);
         step(t.chance, failure, rate, weight, now);
         t.chance.fadeIn(Math.max(NODE_FADE_US, Math.min(NODE_FADE_MOST_US, NODE_FADE_VISITS / rate * 1e6)));
     }
@@ -668,46 +473,7 @@
     /** BLUE for a single bucket; quiet proxies take larger steps. */
     private static void step(DecayingValue chance, boolean failure, double rate, double weight, long now) {
         double step = Math.max(NODE_PI, Math.min(NODE_PI_MOST, 1 / (rate * NODE_EVIDENCE_S + 1e-9)));
-        chance.add(failure ? step * weight : -step * NODE_PD_SHARE, CHANCE_MOST, now);
-    }
-
-    /** FAIR's two steps, on the live and the shadow table; a request counts as one failure at most. */
-    private void tenantEvidence(InFlightRequest r, boolean failure, boolean success, double share,
-            long now) {
-        if (failure ? r.blamed : !success) {
-            return;
-        }
-        r.blamed |= failure;
-        double rate = admitted[r.tenant].get(now) / RATE_US * 1e6;
-        double step = Math.max(PI, Math.min(PI_MOST, 1 / (rate * EVIDENCE_S + 1e-9)));
-        step *= failure ? overQuota(r.tenant, now) * share : -PD_SHARE;
-        live.add(r.tenant, step, CHANCE_MOST, now);
-        shadow.add(r.tenant, step, CHANCE_MOST, now);
-    }
-
-    /**
-     * Flushes and slowdowns fail everyone: a tenant is blamed by how far it runs over its quota compared with
-     * the mean request here, so that within one proxy those beyond their quota are refused first. Where no
-     * quota is stated nothing tells that demand is too high but failures running: single late or refused
-     * answers, taken for it in full, would refuse a share of all requests that the fleet could serve.
-     */
-    private double overQuota(int tenant, long now) {
-        if (!quotasKnown) {
-            double certain = Math.min(1, consecutiveFailures / CONSECUTIVE_TELLS);
-            return certain * certain;
-        }
-        double ratio = quotaRatio(tenant, now) / Math.max(1e-3, meanRatio);
-        double demand = Math.min(1, meanRatio);
-        double proven = Math.min(CONSECUTIVE_MOST, consecutiveFailures / CONSECUTIVE_TELLS);
-        return Math.min(QUOTA_MOST, ratio * ratio) * Math.max(demand * demand, proven);
-    }
-
-    private double quotaRatio(int tenant, long now) {
-        if (tenant >= set.tenants.length || set.tenants[tenant].quotaPerS <= 0) {
-            return 1;
-        }
-        double due = set.tenants[tenant].quotaPerS / set.routers * RATE_US / 1e6;
-        return (asked[tenant].get(now) + QUOTA_DOUBT) / (due + QUOTA_DOUBT);
+        chance.add(failure ? step * weight : -step * NODE_PD_SHARE, TenantAdmission.CHANCE_MOST, now);
     }
 
     // ---- the rest ----
@@ -732,20 +498,17 @@
     public void onTimer(long now, long label, Actions out) {
         int kind = (int) label & 7;
         InFlightRequest r = kind == TIMER_ASK ? null : open.get(label >>> 3);
-        if (kind == TIMER_ASK && !subscribed) {
-            subscribed = true;
-            askedAt = now;
+        if (kind == TIMER_ASK && discovery.begins(now)) {
             out.subscribe();
         } else if (r == null || r.done) {
             return;
         } else if (kind == TIMER_HEDGE && r.out != 0 && r.write && r.atOrigin && r.attempts == 1) {
             // a write still out tells of a slow origin before its time-out, which would be too late
-            step(originChance, true, rate(now) * ORIGIN_PART, ORIGIN_WEIGHT * SOFT, now);
+            step(originChance, true, arrivals.perSecond(now) * ORIGIN_PART, ORIGIN_WEIGHT * SOFT, now);
         } else if (kind == TIMER_HEDGE && r.out != 0 && !r.atOrigin) {
-            // slow compared with others: without this a node whose copies win elsewhere is never blamed;
-            // in full where visits are rare: at one a second, half left a node its keys for many more. Where
-            // they are frequent, full steps move keys that all nodes then fetch, and the origin is choked
-            double soft = Math.max(SOFT, Math.min(1, fleet.readyCount / rate(now)));
+            // slow compared with others: else a node whose copies win elsewhere is never blamed; in full
+            // where visits are rare. Where they are frequent, full steps move keys: fetches choke the origin
+            double soft = Math.max(SOFT, Math.min(1, fleet.readyCount / arrivals.perSecond(now)));
             int first = Integer.numberOfTrailingZeros(r.out);
             Backend slow = r.node[first];
             // a hedge is due for the sake of the aim, which may be close to what answers usually take
@@ -758,14 +521,4 @@
             retry(r, HEDGE_PRICE, now, out);
         }
     }
-
-    @Override
-    public void onProbe(long now, int node, Outcome o, long latency, Report report, Actions out) {
-        // none is asked for
-    }
-
-    @Override
-    public void onTold(long now, int router, byte[] data, Actions out) {
-        // none is asked for either: every rule and the ordinary path hold without
-    }
 }
--- a/src/test/java/holdproxy/ColdRampTest.java
+++ b/src/test/java/holdproxy/ColdRampTest.java
@@ -121,7 +121,7 @@
                 share[i] = day.worstNode ? 0 : dice.nextDouble();
                 int id = day.back ? i + 1 : FIRST_NEW + i;
                 for (int k = 0; day.worstNode && k < 60; k++) {
-                    boolean in = RoutingPolicy.slowStartLot(key(k), id) < RoutingPolicy.COLD_PART * day.coldFrom;
+                    boolean in = SlowStart.lot(key(k), id) < SlowStart.COLD_PART * day.coldFrom;
                     share[i] += in && first(key(k), id) ? popularity(k) : 0;
                 }
             }
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -93,11 +93,11 @@
 
     @Test
     void theTablesOfTenantsGrowWithTheirNumberAndAreBounded() {
-        assertEquals(64, RoutingPolicy.buckets(0));
-        assertEquals(64, RoutingPolicy.buckets(64));
-        assertEquals(128, RoutingPolicy.buckets(65));
-        assertEquals(4096, RoutingPolicy.buckets(3000));
-        assertEquals(16_384, RoutingPolicy.buckets(100_000));
+        assertEquals(64, TenantAdmission.buckets(0));
+        assertEquals(64, TenantAdmission.buckets(64));
+        assertEquals(128, TenantAdmission.buckets(65));
+        assertEquals(4096, TenantAdmission.buckets(3000));
+        assertEquals(16_384, TenantAdmission.buckets(100_000));
     }
 
     @Test
