Membership pings from one place

Four places numbered and sent a ping each for itself: the period's probe, suspects, a dead member, and one for another member. Behaviour is as it was for a sender that brings no answer before it returns, which its page now says. Tests unchanged and green.

--- a/src/main/java/holdproxy/cluster/Membership.java
+++ b/src/main/java/holdproxy/cluster/Membership.java
@@ -17,7 +17,7 @@
  * proves nothing of others: what ran out meanwhile is postponed.
  */
 public final class Membership {
-    /** Sends messages to members; may lose them. */
+    /** Sends messages to members; may lose them, and brings no answer before it returns. */
     @FunctionalInterface
     public interface Sender {
         void send(int member, Message message);
@@ -165,9 +165,15 @@
         if (target < 0) {
             return;
         }
-        probe = new Probe(target, nextSequence++, nowUs + settings.ackTimeoutUs());
         indirectSent = false;
-        send(target, new Message.Ping(settings.self(), ownIncarnation(), probe.sequence, updatesFor(target)));
+        probe = new Probe(target, ping(target), nowUs + settings.ackTimeoutUs());
+    }
+
+    /** Pings a member and returns the sequence number that its answer will have. */
+    private int ping(int member) {
+        int sequence = nextSequence++;
+        send(member, new Message.Ping(settings.self(), ownIncarnation(), sequence, updatesFor(member)));
+        return sequence;
     }
 
     /** Round robin in an order shuffled anew each time: each live member is probed within two rounds. */
@@ -219,7 +225,7 @@
         for (int i = 0; i < members.length && pinged < settings.indirectProbes(); i++) {
             if (members[i].state == MemberState.SUSPECT) {
                 pinged++;
-                send(i, new Message.Ping(settings.self(), ownIncarnation(), nextSequence++, updatesFor(i)));
+                ping(i);
             }
         }
     }
@@ -233,7 +239,7 @@
         int skip = random.nextInt(deadMembers);
         for (int i = 0; i < members.length; i++) {
             if (members[i].state == MemberState.DEAD && skip-- == 0) {
-                send(i, new Message.Ping(settings.self(), ownIncarnation(), nextSequence++, updatesFor(i)));
+                ping(i);
                 return;
             }
         }
@@ -269,10 +275,8 @@
         if (relays.size() >= members.length) {
             return; // no more than one for each member that could ask
         }
-        int sequence = nextSequence++;
-        relays.put(sequence, new Relay(request.sender(), request.sequence(), nowUs + settings.periodUs()));
-        send(request.target(),
-            new Message.Ping(settings.self(), ownIncarnation(), sequence, updatesFor(request.target())));
+        long expiresUs = nowUs + settings.periodUs();
+        relays.put(ping(request.target()), new Relay(request.sender(), request.sequence(), expiresUs));
     }
 
     private void onAck(Message.Ack ack) {
