Review case 3: answers that wait behind a hung request cost whole connections

Five clients send 60 reads of 64 KiB each at once, and one cache node of eight hangs. The answers that wait behind a request at that node count as unread by the client. Beyond 12 MiB the proxy closes the connection with most of them.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../stand/run" 3 Unwritten
