Apply the limit on undecoded input after each read, not at the end of a pass

Cause: after an invalid line a session decodes nothing for 0.5 s and may buffer 16 KiB, but the limit was looked at only when a pass of the event loop had read the socket, up to 1 MiB. The bytes lie in a direct buffer that grows. Direct memory (16 MiB) ran out, and then each allocation slept for 0.5 s on the event loop before it failed. Ruled out: garbage collection (40 pauses, 16 ms at the most) and the decoding of the lines (no dump). Change: the decoder tells the session of each read that it buffers, and the session stops reading at its limit. A read takes 16 KiB at the most, a pass as many bytes as before. While decoding is held the decoder's superclass no longer asks for a read of its own.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import java.nio.charset.StandardCharsets;
@@ -16,7 +18,15 @@
     /** While this many requests are unanswered, no further ones are decoded. */
     private static final int MAX_UNANSWERED = 128;
     /** Undecoded bytes that every session may buffer; more only within a budget that all sessions share. */
-    private static final int MAX_UNDECODED_BYTES = 16 << 10;
+    static final int MAX_UNDECODED_BYTES = 16 << 10;
+    /** The size of the smallest buffer for a read of the socket, in bytes. */
+    private static final int MIN_READ_BYTES = 64;
+    /** The size of the buffer for the first read of a socket, in bytes. */
+    private static final int FIRST_READ_BYTES = 2 << 10;
+    /** The most bytes of one read of the socket, by which a session may exceed its limit on undecoded bytes. */
+    static final int MAX_READ_BYTES = 16 << 10;
+    /** The most reads of one pass of the event loop: 1 MiB, so that a disconnect behind much input is noticed soon. */
+    private static final int MAX_READS_PER_PASS = 64;
     /**
      * The time after the shutdown of the output in which nothing is read. A client sends requests that crossed the
      * shutdown again on another connection long before this is over, and input read later is discarded.
@@ -92,6 +102,17 @@
     /** The answers were dropped to free memory and no longer count. */
     private boolean dropped;
 
+    /** How the sockets of clients are read. */
+    static RecvByteBufAllocator receiveBuffers() {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                .maxMessagesPerRead(MAX_READS_PER_PASS);
+    }
+
+    /** Undecoded bytes of this session. */
+    int undecodedBytes() {
+        return decoder.undecodedBytes();
+    }
+
     ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
         this.decoder = decoder;
@@ -176,6 +197,16 @@
         answer(slot, line);
     }
 
+    /** After each read while decoding is held: stops the reads of the current pass once the limit is reached. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == MetaDecoder.InputBuffered.INSTANCE) {
+            throttle();
+        } else {
+            ctx.fireUserEventTriggered(event);
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         inRead = false;
--- a/src/main/java/holdproxy/net/MetaDecoder.java
+++ b/src/main/java/holdproxy/net/MetaDecoder.java
@@ -14,6 +14,12 @@
     /** The block length of a line that no block follows. */
     static final int NO_BLOCK = -1;
 
+    /** The event after a read whose input was buffered undecoded. */
+    enum InputBuffered {
+        /** The only instance; the event has no content. */
+        INSTANCE
+    }
+
     private final int maxBlockBytes;
     private final ByteBudget budget;
     /** The block that is arriving; null if none is. */
@@ -41,6 +47,31 @@
         return !framingLost && (block != null || actualReadableBytes() > 0);
     }
 
+    /**
+     * Adds input, and decodes it unless decoding is stopped. One pass of the event loop may add many reads of the
+     * socket, and while decoding is stopped no message tells the next handler of them: an event after each read does.
+     */
+    @Override
+    public final void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        super.channelRead(ctx, message);
+        if (held) {
+            ctx.fireUserEventTriggered(InputBuffered.INSTANCE);
+        }
+    }
+
+    /**
+     * Passes the end of a read on. While decoding is stopped, the next handler alone decides about further reads: the
+     * superclass would ask for one after every read from which nothing was decoded.
+     */
+    @Override
+    public final void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        if (held) {
+            ctx.fireChannelReadComplete();
+        } else {
+            super.channelReadComplete(ctx);
+        }
+    }
+
     /** Buffers input undecoded until {@link #resume}; it is discarded if the peer disconnects before. */
     final void hold() {
         held = true;
--- /dev/null
+++ b/src/test/java/holdproxy/net/UndecodedInputTest.java
@@ -0,0 +1,85 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The memory that holds the input of clients while nothing of it may be decoded. */
+@Timeout(60)
+class UndecodedInputTest {
+    private static final int PEERS = 40;
+    /** Far more than one session may buffer. */
+    private static final byte[] INVALID_LINES = "hello\r\n".repeat(150_000).getBytes(StandardCharsets.ISO_8859_1);
+
+    /** Connects the peers and fills their sockets while the event loop is blocked, so that one pass can read it all. */
+    private static List<SocketChannel> openPeersWithFullSockets(ProxyFixture fixture) throws Exception {
+        CountDownLatch filled = new CountDownLatch(1);
+        fixture.loop.execute(() -> {
+            try {
+                filled.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        List<SocketChannel> peers = new ArrayList<>();
+        for (int i = 0; i < PEERS; i++) {
+            SocketChannel peer = SocketChannel.open(fixture.proxy.address());
+            peers.add(peer);
+            peer.setOption(StandardSocketOptions.SO_SNDBUF, INVALID_LINES.length);
+            peer.configureBlocking(false);
+            ByteBuffer lines = ByteBuffer.wrap(INVALID_LINES);
+            while (lines.hasRemaining() && peer.write(lines) > 0) {
+                // writes until the socket takes no more
+            }
+        }
+        filled.countDown();
+        for (SocketChannel peer : peers) {
+            expectError(peer);
+        }
+        return peers;
+    }
+
+    private static void expectError(SocketChannel peer) throws Exception {
+        peer.configureBlocking(true);
+        ByteBuffer answer = ByteBuffer.allocate(7);
+        while (answer.hasRemaining()) {
+            assertTrue(peer.read(answer) >= 0, "the connection ended without an error line");
+        }
+        assertTrue(new String(answer.array(), StandardCharsets.ISO_8859_1).equals("ERROR\r\n"));
+    }
+
+    private static void closeAll(List<SocketChannel> peers) throws Exception {
+        for (SocketChannel peer : peers) {
+            peer.close();
+        }
+    }
+
+    /**
+     * Guards against memory that runs out: the limit of each session was applied only at the end of a pass of the event
+     * loop, in which up to 1 MiB of each socket was read.
+     */
+    @Test
+    void inputBehindAnInvalidLineStaysWithinTheLimitDuringAPass() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(1)) {
+            List<SocketChannel> peers = openPeersWithFullSockets(fixture);
+            int most = fixture.loop
+                    .submit(() -> fixture.proxy.admission.sessions().stream()
+                            .mapToInt(ClientSession::undecodedBytes)
+                            .max()
+                            .orElseThrow())
+                    .get();
+            closeAll(peers);
+            assertTrue(
+                    most <= ClientSession.MAX_UNDECODED_BYTES + ClientSession.MAX_READ_BYTES,
+                    "undecoded bytes of one session: " + most);
+        }
+    }
+}
