Read sockets into the heap: input that waits takes no direct memory

With 16 KiB and one read a session, the 488 sessions that 1,024 descriptors allow can still fill the 16 MiB of the deploy file, at which each allocation blocks the event loop for 0.5 s and then closes the connection that is read. Change: connections of clients, to cache nodes and to discovery use an allocator whose buffers for reads lie in the heap; the JDK reads through one direct buffer per thread.

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -315,6 +315,7 @@
             Bootstrap bootstrap = new Bootstrap()
                     .group(loop)
                     .channel(NioSocketChannel.class)
+                    .option(ChannelOption.ALLOCATOR, HeapBuffers.INSTANCE)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -64,6 +64,7 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, HeapBuffers.INSTANCE)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1000));
     }
 
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -315,6 +315,7 @@
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Admission.MAX_ACCEPTS_PER_PASS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, HeapBuffers.INSTANCE)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, ClientSession.receiveBuffers())
                 .childHandler(clientInitializer());
         loop.execute(() -> {
--- a/src/test/java/holdproxy/net/UndecodedInputTest.java
+++ b/src/test/java/holdproxy/net/UndecodedInputTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
@@ -19,6 +21,9 @@
     /** Far more than one session may buffer. */
     private static final byte[] INVALID_LINES = "hello\r\n".repeat(150_000).getBytes(StandardCharsets.ISO_8859_1);
 
+    /** Of 16 MiB of direct memory in the deploy file, the part of one of at most 1,024 descriptors. */
+    private static final long DIRECT_BYTES_PER_CONNECTION = 16 << 10;
+
     /** Connects the peers and fills their sockets while the event loop is blocked, so that one pass can read it all. */
     private static List<SocketChannel> openPeersWithFullSockets(ProxyFixture fixture) throws Exception {
         CountDownLatch filled = new CountDownLatch(1);
@@ -82,4 +87,27 @@
                     "undecoded bytes of one session: " + most);
         }
     }
+
+    /**
+     * Guards against direct memory that runs out: input that waits was kept in direct buffers, and an allocation that
+     * found none left blocked the event loop for half a second.
+     */
+    @Test
+    void undecodedInputTakesNoDirectMemory() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(1)) {
+            long before = directBytes();
+            List<SocketChannel> peers = openPeersWithFullSockets(fixture);
+            long taken = directBytes() - before;
+            closeAll(peers);
+            assertTrue(taken <= PEERS * DIRECT_BYTES_PER_CONNECTION, "bytes of direct memory taken: " + taken);
+        }
+    }
+
+    /** Bytes of all direct buffers of this process. */
+    private static long directBytes() {
+        return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+                .filter(pool -> pool.getName().equals("direct"))
+                .mapToLong(BufferPoolMXBean::getMemoryUsed)
+                .sum();
+    }
 }
