Answers that wait behind an open request no longer cost the whole connection

Cause: ClientSession.answer counted an answer that has to wait for an earlier request as unwritten, as if its client did not read, and beyond 12 MiB of these Admission.dropLargestUnwritten closed the connection with the most. Change: answers stay in their slots until the connection takes them, so their memory can be freed at the cost of one request: the open request that they wait for gets its final answer (busy if no node can have run it), or, if the client reads late, the last value becomes an error line. UnwrittenAnswers keeps the account. A connection is closed only where nothing waits in any session, so that Netty alone holds more than the limit for clients that read nothing.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -1,7 +1,6 @@
 package holdproxy.net;
 
 import io.netty.channel.EventLoop;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -236,13 +235,6 @@
         inPartialCommand.remove(session);
     }
 
-    /** Closes the session with the most bytes of unwritten answers, so that slow readers cannot fill the memory. */
-    void dropLargestUnwritten() {
-        sessions.stream()
-                .max(Comparator.comparingLong(ClientSession::unwrittenBytes))
-                .ifPresent(ClientSession::dropAnswers);
-    }
-
     /** Whether no client is connected. */
     boolean isEmpty() {
         return sessions.isEmpty();
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.concurrent.TimeUnit;
 
 /** One client connection. Each request gets one answer, and answers are written in the order of the requests. */
@@ -39,12 +40,16 @@
     /** How long nothing is decoded after an invalid command. */
     private static final int FAULT_PAUSE_MS = 500;
 
+    private static final String CRLF = "\r\n";
+    /** The answer to a request whose value was dropped to free memory. */
+    private static final String DROPPED_VALUE_ANSWER = "SERVER_ERROR failed";
+
     /** The place of one request in the order of the answers. */
     static final class Slot {
         /** Null until the request is answered. */
         private ByteBuf answer;
         /** The open request; null if the proxy answers without the router, and once it is answered. */
-        private Exchange exchange;
+        Exchange exchange;
     }
 
     /**
@@ -71,8 +76,10 @@
     private boolean closing;
     /** The connection exceeds the limit, so its requests are refused. */
     private boolean refusingRequests;
-    /** The shutdown of the output has begun. */
+    /** No further input is accepted; the output is shut down once all answers have been passed to Netty. */
     private boolean shutdownStarted;
+    /** All answers have been passed to Netty, and the output is shut down after them. */
+    private boolean shutdownQueued;
     /** The quiet time after the shutdown of the output is over, so input is read and discarded. */
     private boolean shutdownQuietOver;
     /** Commands of the current read may still be in the decoder. */
@@ -89,6 +96,10 @@
     private boolean partialIgnored;
     /** A task that resumes decoding is scheduled. */
     private boolean resumeScheduled;
+    /** Requests without an answer. */
+    private int unanswered;
+    /** Answers are being passed to Netty, which may call back. */
+    private boolean writingAnswers;
     /** Answers that have been passed to Netty and not been written to the kernel yet. */
     private int pendingWrites;
     /** When the bytes behind an invalid command arrived; 0 if there are none. */
@@ -97,7 +108,9 @@
     private long decodeDelayUs;
     /** The undecoded bytes beyond {@link #MAX_UNDECODED_BYTES}, which count towards the shared budget. */
     private int sharedUndecodedBytes;
-    /** Bytes of answers that have not been written to the kernel yet. */
+    /** Bytes of answers that have not been passed to Netty yet. */
+    private long waitingBytes;
+    /** Bytes of answers that have not been written to the kernel yet, the waiting ones included. */
     private long unwrittenBytes;
     /** The answers were dropped to free memory and no longer count. */
     private boolean dropped;
@@ -130,7 +143,12 @@
 
     /** Whether no request is unanswered. */
     boolean isIdle() {
-        return slots.isEmpty();
+        return unanswered == 0;
+    }
+
+    /** The number of requests without an answer. */
+    int unanswered() {
+        return unanswered;
     }
 
     /** The connection exceeds the limit: its requests are refused, and it is closed after the first one. */
@@ -144,8 +162,7 @@
             // The framing is lost or the output is shut down; the client sends the command again elsewhere.
             return;
         }
-        Slot slot = new Slot();
-        slots.add(slot);
+        Slot slot = addSlot();
         inRead = true;
         commandInRead = true;
         if (!firstCommandSeen && !(message instanceof Command.Fault)) {
@@ -157,7 +174,7 @@
             closing = true;
             answer(slot, proxy.busyAnswer());
         } else if (message instanceof Command command) {
-            slot.exchange = proxy.handleRequest(this, slot, command, decodeDelayUs);
+            proxy.handleRequest(this, slot, command, decodeDelayUs);
         } else if (message instanceof Command.NoOp) {
             answer(slot, "MN");
         } else if (message instanceof Command.Fault fault) {
@@ -166,6 +183,14 @@
         throttle();
     }
 
+    /** Adds the slot of a request that has arrived. */
+    private Slot addSlot() {
+        Slot slot = new Slot();
+        slots.add(slot);
+        unanswered++;
+        return slot;
+    }
+
     /**
      * Answers an invalid command with an error line, and then decodes nothing for a while. Otherwise clients that
      * repeat an invalid command as soon as it is answered or the connection is closed, or that send 60 MB after one,
@@ -189,8 +214,7 @@
 
     /** Sends an error line and closes the connection, because a command has taken too long to arrive. */
     void failPartialCommand(String line) {
-        Slot slot = new Slot();
-        slots.add(slot);
+        Slot slot = addSlot();
         closing = true;
         partialIgnored = true;
         ignoringInput = true;
@@ -278,12 +302,17 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        writeAnswers();
         throttle();
     }
 
     /** Answers with a line, given without its end. */
     void answer(Slot slot, String line) {
-        answer(slot, Unpooled.copiedBuffer(line + "\r\n", StandardCharsets.ISO_8859_1));
+        answer(slot, line(line));
+    }
+
+    private static ByteBuf line(String text) {
+        return Unpooled.copiedBuffer(text + CRLF, StandardCharsets.ISO_8859_1);
     }
 
     /** Answers one request; the answer is sent after those of all earlier requests. Further answers are ignored. */
@@ -294,44 +323,72 @@
         }
         slot.answer = answer;
         slot.exchange = null;
+        unanswered--;
+        waitingBytes += answer.readableBytes();
         addUnwritten(answer.readableBytes());
-        if (proxy.tooManyUnwrittenBytes()) {
-            proxy.admission.dropLargestUnwritten();
-            if (dropped) {
-                return;
-            }
+        writeAnswers();
+        if (unanswered == 0) {
+            onAllAnswered();
+        }
+        proxy.unwrittenAnswers.reclaim();
+    }
+
+    /** Every request that has arrived is answered, though not all answers may be written. */
+    private void onAllAnswered() {
+        boolean writing = pendingWrites > 0 || !slots.isEmpty();
+        if (framingLost) {
+            int delayMs = writing ? MAX_WRITE_MS : FAULT_PAUSE_MS;
+            channel.eventLoop().schedule(() -> channel.close(), delayMs, TimeUnit.MILLISECONDS);
+        } else if (closing) {
+            shutdownIfDone();
+        } else if (writing) {
+            channel.eventLoop().schedule(this::reportIdle, MAX_WRITE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /**
+     * Passes answers to Netty in the order of their requests, up to the first open request, and only as fast as the
+     * client takes them. The others stay in their slots, where their memory can still be freed.
+     */
+    private void writeAnswers() {
+        if (writingAnswers) {
+            return;
         }
+        writingAnswers = true;
         boolean anyWritten = false;
-        while (!slots.isEmpty() && slots.peek().answer != null) {
-            ByteBuf next = slots.poll().answer;
-            int size = next.readableBytes();
-            pendingWrites++;
-            channel.write(next).addListener(f -> {
-                addUnwritten(-size);
-                onWritten();
-            });
+        while (mayWriteAnswer()) {
+            while (mayWriteAnswer()) {
+                writeAnswer(slots.poll().answer);
+            }
+            channel.flush();
             anyWritten = true;
         }
+        writingAnswers = false;
         if (anyWritten) {
-            channel.flush();
             throttle();
         }
-        if (slots.isEmpty()) {
-            if (framingLost) {
-                channel.eventLoop().schedule(() -> channel.close(), FAULT_PAUSE_MS, TimeUnit.MILLISECONDS);
-            } else if (closing) {
-                shutdownIfDone();
-            } else if (pendingWrites > 0) {
-                channel.eventLoop().schedule(this::idleIfDone, MAX_WRITE_MS, TimeUnit.MILLISECONDS);
-            }
-        }
+        queueShutdown();
+    }
+
+    private boolean mayWriteAnswer() {
+        return !slots.isEmpty() && slots.peek().answer != null && channel.isWritable() && channel.isActive();
+    }
+
+    private void writeAnswer(ByteBuf answer) {
+        int size = answer.readableBytes();
+        waitingBytes -= size;
+        pendingWrites++;
+        channel.write(answer).addListener(f -> {
+            addUnwritten(-size);
+            onWritten();
+        });
     }
 
     /** An answer has been written to the kernel, or the write has failed. */
     private void onWritten() {
         pendingWrites--;
-        if (pendingWrites == 0) {
-            idleIfDone();
+        if (pendingWrites == 0 && slots.isEmpty()) {
+            reportIdle();
         }
     }
 
@@ -339,12 +396,17 @@
      * Reports the session as idle. That requires that its answers have been written to the kernel, because closing
      * an idle session to make room would lose unwritten answers. After {@link #MAX_WRITE_MS} it is idle in any case.
      */
-    private void idleIfDone() {
-        if (slots.isEmpty() && !framingLost && !closing && channel.isActive()) {
+    private void reportIdle() {
+        if (isIdle() && !framingLost && !closing && channel.isActive()) {
             proxy.onSessionIdle(this);
         }
     }
 
+    /** Bytes of answers that have not been passed to Netty yet. */
+    long waitingBytes() {
+        return waitingBytes;
+    }
+
     /** Bytes of answers that have not been written to the kernel yet. */
     long unwrittenBytes() {
         return unwrittenBytes;
@@ -354,14 +416,49 @@
     private void addUnwritten(int change) {
         if (!dropped) {
             unwrittenBytes += change;
-            proxy.addUnwritten(change);
+            proxy.unwrittenAnswers.add(change);
         }
     }
 
+    /**
+     * Frees memory of waiting answers at the cost of one request. If they wait for an open request, that one gets its
+     * final answer now; if they wait for the client to read, the last value is replaced by an error line. Returns
+     * false if neither is possible.
+     */
+    boolean reclaimWaiting() {
+        if (!channel.isActive()) {
+            dropAnswers(); // the connection has just ended, and its answers are about to be released
+            return true;
+        }
+        Slot head = slots.peek();
+        if (head != null && head.exchange != null) {
+            proxy.giveUp(head.exchange);
+            return true;
+        }
+        for (Iterator<Slot> newestFirst = slots.descendingIterator(); newestFirst.hasNext(); ) {
+            Slot slot = newestFirst.next();
+            if (slot.answer != null && slot.answer.readableBytes() > DROPPED_VALUE_ANSWER.length() + CRLF.length()) {
+                replaceAnswer(slot);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void replaceAnswer(Slot slot) {
+        int freed = slot.answer.readableBytes();
+        slot.answer.release();
+        slot.answer = line(DROPPED_VALUE_ANSWER);
+        int change = slot.answer.readableBytes() - freed;
+        waitingBytes += change;
+        addUnwritten(change);
+    }
+
     /** Closes the connection and drops its answers; they no longer count, although Netty frees some a little later. */
     void dropAnswers() {
-        proxy.addUnwritten(-unwrittenBytes);
+        proxy.unwrittenAnswers.add(-unwrittenBytes);
         unwrittenBytes = 0;
+        waitingBytes = 0;
         dropped = true;
         channel.close();
     }
@@ -379,7 +476,7 @@
 
     /** Shuts the output down if the connection is to be closed and nothing is left to answer. */
     private void shutdownIfDone() {
-        if (closing && !framingLost && slots.isEmpty() && !inRead && (partialIgnored || !decoder.hasPartialMessage())) {
+        if (closing && !framingLost && isIdle() && !inRead && (partialIgnored || !decoder.hasPartialMessage())) {
             shutdownOutput();
         }
     }
@@ -397,6 +494,16 @@
         shutdownStarted = true;
         ignoringInput = true;
         channel.config().setAutoRead(false);
+        channel.eventLoop().schedule(() -> channel.close(), MAX_WRITE_MS, TimeUnit.MILLISECONDS);
+        queueShutdown();
+    }
+
+    /** Has the output shut down behind the answers, once the last of them has been passed to Netty. */
+    private void queueShutdown() {
+        if (!shutdownStarted || shutdownQueued || !slots.isEmpty()) {
+            return;
+        }
+        shutdownQueued = true;
         EventLoop loop = channel.eventLoop();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
             ((DuplexChannel) channel).shutdownOutput();
@@ -409,7 +516,6 @@
                     TimeUnit.MILLISECONDS);
             loop.schedule(() -> channel.close(), SHUTDOWN_LINGER_MS, TimeUnit.MILLISECONDS);
         });
-        loop.schedule(() -> channel.close(), MAX_WRITE_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -426,6 +532,7 @@
             }
         }
         slots.clear();
+        waitingBytes = 0;
     }
 
     @Override
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -41,8 +41,6 @@
     private static final long MAX_OPEN_VALUE_BYTES = 6L << 20;
     /** Limits the bytes of values that clients have announced and not sent completely yet. */
     private static final long MAX_ARRIVING_VALUE_BYTES = 4L << 20;
-    /** Limits the bytes of all answers that have not been written to the kernel yet. */
-    private static final long MAX_UNWRITTEN_BYTES = 12L << 20;
     /** Limits the undecoded bytes of all sessions, beyond what each session may buffer on its own. */
     private static final long MAX_SHARED_UNDECODED_BYTES = 1L << 20;
     /** Limits the open requests; the setting {@code caps.openCap} may limit them further. */
@@ -103,6 +101,9 @@
     private final Set<String> openOpaques = new HashSet<>();
 
     final Admission admission;
+    /** The memory of the answers that clients have not taken yet. */
+    final UnwrittenAnswers unwrittenAnswers;
+
     final CatchUp catchUp;
     private final Router.Request request = new Router.Request();
     private final Router.LoadReport report = new Router.LoadReport();
@@ -119,8 +120,6 @@
     private final LoopLag loopLag = new LoopLag();
     /** Value bytes of the open requests. */
     private long openValueBytes;
-    /** Bytes of answers that have not been written to the kernel yet. */
-    private long unwrittenBytes;
     /** Null before the proxy listens and once a drain has closed the listener. */
     private volatile Channel listener;
     /** The number of client connections accepted so far. */
@@ -137,6 +136,7 @@
         int available = config.maxDescriptors - RESERVED_DESCRIPTORS;
         int maxSessions = available / 2;
         admission = new Admission(this, maxSessions, config.maxDescriptors / 4, loop);
+        unwrittenAnswers = new UnwrittenAnswers(admission::sessions, log);
         catchUp = new CatchUp(loop);
         names = new Command.Names(new HashMap<>(), new HashMap<>());
         for (int i = 0; i < config.settings.classes.length; i++) {
@@ -427,19 +427,18 @@
      * Accepts a request and passes it to the router, or answers it with an error.
      *
      * @param decodeDelayUs how long the command was buffered undecoded, which counts towards the client's wait
-     * @return the open request, or null if it was answered with an error
      */
-    Exchange handleRequest(ClientSession session, ClientSession.Slot slot, Command command, long decodeDelayUs) {
+    void handleRequest(ClientSession session, ClientSession.Slot slot, Command command, long decodeDelayUs) {
         if (exchanges.size() >= Math.min(MAX_OPEN_REQUESTS, config.settings.maxOpenRequests)
                 || openValueBytes + command.valueBytes() > MAX_OPEN_VALUE_BYTES) {
             session.answer(slot, busyAnswer());
-            return null;
+            return;
         }
         if (!openOpaques.add(command.opaque)) {
             // Clients use a new opaque for every request. With a duplicate, a client could get the answer to another
             // client's request.
             session.answer(slot, "CLIENT_ERROR the id is in use");
-            return null;
+            return;
         }
         long now = now();
         long classDeadlineUs = config.settings.classes[command.requestClass].deadlineUs;
@@ -450,6 +449,7 @@
         long readDelayUs = Math.max(loopLag.blockedUs(now), decodeDelayUs);
         long dueUs = now + Math.max(waitUs / 2, waitUs - reserveUs) - readDelayUs;
         Exchange exchange = new Exchange(nextRequestId++, command, session, slot, dueUs);
+        slot.exchange = exchange;
         exchanges.put(exchange.id, exchange);
         openValueBytes += command.valueBytes();
         exchange.overdueTimer = loop.schedule(
@@ -462,7 +462,6 @@
             request.dueUs = exchange.dueUs;
             router.onRequest(now(), request, this);
         });
-        return exchange;
     }
 
     /** Fails a request that the router has left unanswered. */
@@ -474,6 +473,16 @@
         }
     }
 
+    /**
+     * Ends an open request before its time with a final answer, to free the memory of the answers that wait behind it.
+     * The answer is a refusal only if no cache node can have run the request.
+     */
+    void giveUp(Exchange exchange) {
+        boolean mayHaveRun = exchange.attempts.stream().anyMatch(attempt -> attempt.writeStarted);
+        onClientGone(exchange);
+        exchange.session.answer(exchange.slot, mayHaveRun ? "SERVER_ERROR failed" : refusal());
+    }
+
     /** The client of an open request has disconnected. */
     void onClientGone(Exchange exchange) {
         if (!exchange.answered) {
@@ -506,26 +515,16 @@
     /** Logs that a request is refused for lack of capacity, and returns the answer line without its end. */
     String busyAnswer() {
         log.line("refusing a request: too many open requests, buffered bytes or connections");
+        return refusal();
+    }
+
+    /** The answer line of a request that the proxy refuses without asking the router, without its end. */
+    private String refusal() {
         Router.Settings settings = config.settings;
         // "busy" promises that the request did not run; it was not sent to any node.
         return busyAnswer(settings.maySendRetryAfter ? Math.min(DEFAULT_RETRY_AFTER_US, settings.maxRetryAfterUs) : 0);
     }
 
-    /** Adds to the bytes of answers that have not been written to the kernel yet; {@code change} may be negative. */
-    void addUnwritten(long change) {
-        unwrittenBytes += change;
-    }
-
-    /** Bytes of answers of all sessions that have not been written to the kernel yet. */
-    long unwrittenBytes() {
-        return unwrittenBytes;
-    }
-
-    /** Whether the unwritten answers of all sessions exceed the limit on their bytes. */
-    boolean tooManyUnwrittenBytes() {
-        return unwrittenBytes > MAX_UNWRITTEN_BYTES;
-    }
-
     /** The answer line of a refused request, with a retry-after time in milliseconds unless it is 0. */
     private String busyAnswer(long retryAfterUs) {
         return retryAfterUs > 0 ? "SERVER_ERROR busy " + Math.max(1, retryAfterUs / 1000) : "SERVER_ERROR busy";
