A write whose value finds no room is refused, and the commands behind it are answered

When 4 MiB of values were arriving, the next write was answered CLIENT_ERROR and its connection closed; commands that had been sent behind it had been taken and got no answer. Change: the value is discarded as it arrives, the write is answered "busy", which is true as no node has seen it, and the connection goes on. Answers of nodes are handled as before. Test: writeWithoutRoomIsRefusedAndTheCommandsBehindItAreAnswered; before the change the write got "CLIENT_ERROR too much is coming at once", and the no-op behind it nothing.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -175,6 +175,8 @@
             answer(slot, proxy.busyAnswer());
         } else if (message instanceof Command command) {
             proxy.handleRequest(this, slot, command, decodeDelayUs);
+        } else if (message instanceof Command.Refused) {
+            answer(slot, proxy.busyAnswer());
         } else if (message instanceof Command.NoOp) {
             answer(slot, "MN");
         } else if (message instanceof Command.Fault fault) {
--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -203,7 +203,7 @@
         return out;
     }
 
-    /** Decodes the input of a client into {@link Command}, {@link NoOp} and {@link Fault} objects. */
+    /** Decodes the input of a client into {@link Command}, {@link Refused}, {@link NoOp} and {@link Fault} objects. */
     static final class Decoder extends MetaDecoder {
         private final Names names;
         /**
@@ -264,6 +264,17 @@
             pending = null;
         }
 
+        @Override
+        boolean discardsBlocks() {
+            return true;
+        }
+
+        @Override
+        void handleDiscardedBlock(List<Object> out) {
+            out.add(pendingErrorLine != null ? new Fault(pendingErrorLine, false) : new Refused());
+            pending = null;
+        }
+
         @Override
         void handleFramingLost(String why, List<Object> out) {
             pending = null;
@@ -271,6 +282,9 @@
         }
     }
 
+    /** A valid command whose data block found no room and was discarded. */
+    record Refused() {}
+
     /** The {@code mn} command, with which a client checks that the proxy is up. */
     record NoOp() {}
 
--- a/src/main/java/holdproxy/net/MetaDecoder.java
+++ b/src/main/java/holdproxy/net/MetaDecoder.java
@@ -14,6 +14,9 @@
     /** The block length of a line that no block follows. */
     static final int NO_BLOCK = -1;
 
+    /** The length of the line end behind a block. */
+    private static final int BLOCK_END_BYTES = 2;
+
     /** The event after a read whose input was buffered undecoded. */
     enum InputBuffered {
         /** The only instance; the event has no content. */
@@ -22,7 +25,9 @@
 
     private final int maxBlockBytes;
     private final ByteBudget budget;
-    /** The block that is arriving; null if none is. */
+    /** The length of the block that is arriving; {@link #NO_BLOCK} if none is. */
+    private int blockLength = NO_BLOCK;
+    /** The block that is arriving; null if none is, and if the block is discarded as it arrives. */
     private byte[] block;
     /** How many bytes of the block have arrived. */
     private int blockBytesRead;
@@ -44,7 +49,7 @@
 
     /** Whether a message has arrived in part. */
     final boolean hasPartialMessage() {
-        return !framingLost && (block != null || actualReadableBytes() > 0);
+        return !framingLost && (blockLength != NO_BLOCK || actualReadableBytes() > 0);
     }
 
     /**
@@ -107,6 +112,16 @@
     /** Handles a complete data block. */
     abstract void handleBlock(byte[] value, List<Object> out);
 
+    /** Whether a block for which the budget has no room is discarded as it arrives; if not, the framing is lost. */
+    boolean discardsBlocks() {
+        return false;
+    }
+
+    /** Handles the end of a data block that was discarded. */
+    void handleDiscardedBlock(List<Object> out) {
+        // discards nothing unless a subclass says so
+    }
+
     /** Called when the peer has broken the framing, so that its further input cannot be decoded. */
     abstract void handleFramingLost(String why, List<Object> out);
 
@@ -117,7 +132,7 @@
         }
         if (framingLost) {
             in.skipBytes(in.readableBytes());
-        } else if (block != null) {
+        } else if (blockLength != NO_BLOCK) {
             decodeBlock(in, out);
         } else {
             decodeLine(in, out);
@@ -126,19 +141,25 @@
 
     /** Copies a block as its bytes arrive; collecting them in a buffer first would hold it in memory twice or more. */
     private void decodeBlock(ByteBuf in, List<Object> out) {
-        int available = Math.min(in.readableBytes(), block.length - blockBytesRead);
-        in.readBytes(block, blockBytesRead, available);
+        int available = Math.min(in.readableBytes(), blockLength - blockBytesRead);
+        if (block == null) {
+            in.skipBytes(available);
+        } else {
+            in.readBytes(block, blockBytesRead, available);
+        }
         blockBytesRead += available;
-        if (blockBytesRead < block.length || in.readableBytes() < 2) {
+        if (blockBytesRead < blockLength || in.readableBytes() < BLOCK_END_BYTES) {
             return;
         }
         byte[] value = block;
         releaseBlock();
         if (in.readByte() != '\r' || in.readByte() != '\n') {
             loseFraming("bad data chunk", out);
-            return;
+        } else if (value == null) {
+            handleDiscardedBlock(out);
+        } else {
+            handleBlock(value, out);
         }
-        handleBlock(value, out);
     }
 
     private void decodeLine(ByteBuf in, List<Object> out) {
@@ -149,18 +170,31 @@
         } else if (end >= 0) {
             String line = in.readString(length, StandardCharsets.ISO_8859_1);
             in.skipBytes(1);
-            int blockLength = handleLine(line.endsWith("\r") ? line.substring(0, length - 1) : line, out);
-            if (blockLength > maxBlockBytes) {
-                loseFraming("object too large", out);
-            } else if (blockLength != NO_BLOCK && blockLength < 0) {
-                loseFraming("bad data length", out);
-            } else if (blockLength != NO_BLOCK && !budget.tryReserve(blockLength)) {
-                loseFraming("too much is coming at once", out);
-            } else if (blockLength != NO_BLOCK) {
-                block = new byte[blockLength];
-                blockBytesRead = 0;
-            }
+            beginBlock(handleLine(line.endsWith("\r") ? line.substring(0, length - 1) : line, out), out);
+        }
+    }
+
+    /** Expects a block of the length that a line states, unless that is {@link #NO_BLOCK}. */
+    private void beginBlock(int length, List<Object> out) {
+        if (length == NO_BLOCK) {
+            return;
+        }
+        if (length > maxBlockBytes) {
+            loseFraming("object too large", out);
+            return;
+        }
+        if (length < 0) {
+            loseFraming("bad data length", out);
+            return;
+        }
+        boolean hasRoom = budget.tryReserve(length);
+        if (!hasRoom && !discardsBlocks()) {
+            loseFraming("too much is coming at once", out);
+            return;
         }
+        blockLength = length;
+        blockBytesRead = 0;
+        block = hasRoom ? new byte[length] : null;
     }
 
     /** Ends decoding because the peer broke the framing. */
@@ -176,6 +210,7 @@
             budget.release(block.length);
             block = null;
         }
+        blockLength = NO_BLOCK;
     }
 
     @Override
--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -289,4 +289,24 @@
             assertTrue(sent < 900, "the proxy read all of the 60 MB");
         }
     }
+
+    /**
+     * Guards against lost commands: a write for whose value there was no memory ended its connection, and the commands
+     * that had been sent behind it got no answer.
+     */
+    @Test
+    void writeWithoutRoomIsRefusedAndTheCommandsBehindItAreAnswered() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(1)) {
+            String line = "ms 7f3a9c21e0b4d655 65536 O%s Pc=charge,t=acme,d=4000,k=1\r\n";
+            for (int i = 0; i < 64; i++) { // 64 values of 64 KiB are all that may arrive at once
+                fixture.openClient().send("mn\r\n" + String.format(line, "v" + i));
+            }
+            for (TestConnection announced : fixture.clients) {
+                announced.expectLines("MN");
+            }
+            TestConnection client = fixture.openClient();
+            client.send(String.format(line, "a1") + "v".repeat(65536) + "\r\nmn\r\n");
+            client.expectLines("SERVER_ERROR busy 500", "MN");
+        }
+    }
 }
