Move the listening socket out of Proxy into ClientListener

Proxy had grown to 821 lines; binding with retries, accepting and emptying the accept queue at a drain are one job. Nothing changes in what is done. mvn -B verify passes.

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -3,22 +3,12 @@
 import holdproxy.BadInput;
 import holdproxy.Router;
 import holdproxy.RoutingPolicy;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.util.NetUtil;
-import io.netty.util.concurrent.Future;
-import io.netty.util.concurrent.Promise;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
-import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -69,14 +59,11 @@
      * read. An attempt must not start later than 0.1 s after its client disconnected; this is about a third of that.
      */
     private static final long CATCH_UP_PAUSE_US = 30_000;
-    /** The length of the kernel's accept queue. */
-    private static final int ACCEPT_QUEUE_LENGTH = 512;
-    /** The time between two attempts to bind the listen address. */
-    private static final int BIND_RETRY_MS = 100;
     /** How long binding is retried beyond the longest drain of a previous process that may hold the address. */
     private static final long BIND_MARGIN_US = 1_000_000;
 
     private final Config config;
+    private final ClientListener listener;
     private final Log log = new Log();
     private final EventLoop loop;
     /** The {@link System#nanoTime} at which the router's clock reads 0. */
@@ -120,10 +107,6 @@
     private final LoopLag loopLag = new LoopLag();
     /** Value bytes of the open requests. */
     private long openValueBytes;
-    /** Null before the proxy listens and once a drain has closed the listener. */
-    private volatile Channel listener;
-    /** The number of client connections accepted so far. */
-    private long acceptedConnections;
     /** Whether a client other than the warm-up has connected. */
     private boolean clientSeen;
 
@@ -132,6 +115,7 @@
     private Proxy(Config config, EventLoop loop) {
         this.config = config;
         this.loop = loop;
+        listener = new ClientListener(config.listenAddress, loop, log, this::setUpConnection);
         unixAtClockOriginUs = System.currentTimeMillis() * 1000;
         int available = config.maxDescriptors - RESERVED_DESCRIPTORS;
         int maxSessions = available / 2;
@@ -243,21 +227,7 @@
     private boolean open() {
         try {
             loop.submit(this::startComponents).get();
-            long retryUntilUs = now() + maxBindUs(config.settings);
-            Future<Boolean> listens = listen().await();
-            if (listens.cause() instanceof BindException) {
-                log.line("address " + NetUtil.toSocketAddressString(config.listenAddress) + " is in use: retrying for "
-                        + maxBindUs(config.settings) / 1000 + " ms");
-            }
-            while (listens.cause() instanceof BindException && now() < retryUntilUs) {
-                Thread.sleep(BIND_RETRY_MS);
-                listens = listen().await();
-            }
-            if (!listens.isSuccess()) {
-                throw new BadInput("failed to listen on " + config.listenAddress + ": "
-                        + listens.cause().getMessage());
-            }
-            return listens.getNow();
+            return listener.open(maxBindUs(config.settings));
         } catch (ExecutionException e) {
             throw new BadInput("failed to start: " + e.getCause().getMessage());
         } catch (InterruptedException e) {
@@ -287,60 +257,16 @@
         }
     }
 
-    private ChannelInitializer<Channel> clientInitializer() {
-        Proxy proxy = this;
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                acceptedConnections++;
-                Command.Decoder decoder = new Command.Decoder(names, arrivingBudget);
-                ch.pipeline().addLast(decoder, new ClientSession(proxy, decoder));
-                clientSeen |= !SocketWarmup.isOwnConnection((InetSocketAddress) ch.remoteAddress(), address());
-            }
-        };
-    }
-
-    /**
-     * Binds the listen address. The future is true once the proxy listens and false if it is draining; it fails
-     * with the error of the bind call.
-     */
-    private Future<Boolean> listen() {
-        Promise<Boolean> listens = loop.newPromise();
-        ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(loop, loop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, ACCEPT_QUEUE_LENGTH)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .option(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Admission.MAX_ACCEPTS_PER_PASS))
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.ALLOCATOR, HeapBuffers.INSTANCE)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ClientSession.receiveBuffers())
-                .childHandler(clientInitializer());
-        loop.execute(() -> {
-            if (draining) {
-                listens.setSuccess(false);
-                return;
-            }
-            bootstrap.bind(config.listenAddress).addListener((ChannelFutureListener) f -> {
-                if (!f.isSuccess()) {
-                    listens.setFailure(f.cause());
-                } else if (draining) {
-                    f.channel().close();
-                    listens.setSuccess(false);
-                } else {
-                    listener = f.channel();
-                    listens.setSuccess(true);
-                }
-            });
-        });
-        return listens;
+    /** Adds the handlers of a client connection. */
+    private void setUpConnection(Channel connection) {
+        Command.Decoder decoder = new Command.Decoder(names, arrivingBudget);
+        connection.pipeline().addLast(decoder, new ClientSession(this, decoder));
+        clientSeen |= !SocketWarmup.isOwnConnection((InetSocketAddress) connection.remoteAddress(), address());
     }
 
     /** The address to which the listener is bound. */
     InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
+        return listener.address();
     }
 
     /** Measures the lag of the event loop and schedules the next measurement. */
@@ -410,7 +336,7 @@
     /** The session has no open request, and its answers have been written. */
     void onSessionIdle(ClientSession session) {
         admission.onIdle(session);
-        if (draining && listener == null) {
+        if (draining && !listener.isOpen()) {
             session.closeWhenAnswered();
         }
     }
@@ -754,15 +680,7 @@
             if (peerLink != null) {
                 peerLink.close();
             }
-            if (listener == null) {
-                finishDrainIfClosed(); // no client could connect yet
-            } else {
-                // Accepts at most one full accept queue, so that new connections cannot keep the listener open.
-                loop.schedule(
-                        () -> drainAcceptQueue(acceptedConnections + ACCEPT_QUEUE_LENGTH),
-                        acceptMs,
-                        TimeUnit.MILLISECONDS);
-            }
+            listener.stop(acceptMs, this::closeSessions);
         });
         try {
             boolean allClosed = drained.await(maxDrainUs(config.settings), TimeUnit.MICROSECONDS);
@@ -781,32 +699,8 @@
         return longestDeadlineUs + KILL_DELAY_US - EXIT_MARGIN_US;
     }
 
-    /**
-     * Accepts the connections that wait in the accept queue, some in each pass of the event loop, and closes the
-     * listener after a pass that found none. Closing it at once would reset the queued connections and close
-     * those accepted in the last pass before their requests were read.
-     *
-     * @param acceptLimit the number of accepted connections at which the listener is closed in any case
-     */
-    private void drainAcceptQueue(long acceptLimit) {
-        long acceptedBefore = acceptedConnections;
-        loop.schedule(
-                () -> {
-                    // This runs in the next pass at the earliest, after the loop has polled the kernel for new
-                    // connections and input.
-                    if (acceptedConnections == acceptedBefore || acceptedConnections >= acceptLimit) {
-                        stopListening();
-                    } else {
-                        drainAcceptQueue(acceptLimit);
-                    }
-                },
-                0,
-                TimeUnit.MILLISECONDS);
-    }
-
-    private void stopListening() {
-        listener.close();
-        listener = null;
+    /** Closes each session once its requests are answered. */
+    private void closeSessions() {
         for (ClientSession session : admission.sessions()) {
             session.closeWhenAnswered();
         }
@@ -815,7 +709,7 @@
 
     /** Completes the drain once the listener and all sessions are closed. */
     private void finishDrainIfClosed() {
-        if (draining && listener == null && admission.isEmpty()) {
+        if (draining && !listener.isOpen() && admission.isEmpty()) {
             drained.countDown();
         }
     }
