Move the answers of a client connection out of ClientSession into AnswerQueue

Two things are stricter: a connection that is closed to make room no longer counts in the account of unwritten bytes, and freeing memory ends when no session holds anything.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -9,13 +9,10 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Iterator;
 import java.util.concurrent.TimeUnit;
 
 /** One client connection. Each request gets one answer, and answers are written in the order of the requests. */
-final class ClientSession extends SimpleChannelInboundHandler<Object> {
+final class ClientSession extends SimpleChannelInboundHandler<Object> implements AnswerQueue.Listener {
     /** While this many requests are unanswered, no further ones are decoded. */
     private static final int MAX_UNANSWERED = 128;
     /** Undecoded bytes that every session may buffer; more only within a budget that all sessions share. */
@@ -40,18 +37,6 @@
     /** How long nothing is decoded after an invalid command. */
     private static final int FAULT_PAUSE_MS = 500;
 
-    private static final String CRLF = "\r\n";
-    /** The answer to a request whose value was dropped to free memory. */
-    private static final String DROPPED_VALUE_ANSWER = "SERVER_ERROR failed";
-
-    /** The place of one request in the order of the answers. */
-    static final class Slot {
-        /** Null until the request is answered. */
-        private ByteBuf answer;
-        /** The open request; null if the proxy answers without the router, and once it is answered. */
-        Exchange exchange;
-    }
-
     /**
      * When the connection was opened, in microseconds on the proxy's clock like the other points in time below. This
      * and the next four fields are kept for {@link Admission}.
@@ -68,7 +53,7 @@
 
     private final Proxy proxy;
     private final Command.Decoder decoder;
-    private final ArrayDeque<Slot> slots = new ArrayDeque<>();
+    private final AnswerQueue answers;
     private Channel channel;
     /** Decoded input is ignored: the framing is lost, or the output is being shut down. */
     private boolean ignoringInput;
@@ -96,25 +81,12 @@
     private boolean partialIgnored;
     /** A task that resumes decoding is scheduled. */
     private boolean resumeScheduled;
-    /** Requests without an answer. */
-    private int unanswered;
-    /** Answers are being passed to Netty, which may call back. */
-    private boolean writingAnswers;
-    /** Answers that have been passed to Netty and not been written to the kernel yet. */
-    private int pendingWrites;
     /** When the bytes behind an invalid command arrived; 0 if there are none. */
     private long undecodedSinceUs;
     /** How long the bytes that are being decoded had to wait behind an invalid command. */
     private long decodeDelayUs;
     /** The undecoded bytes beyond {@link #MAX_UNDECODED_BYTES}, which count towards the shared budget. */
     private int sharedUndecodedBytes;
-    /** Bytes of answers that have not been passed to Netty yet. */
-    private long waitingBytes;
-    /** Bytes of answers that have not been written to the kernel yet, the waiting ones included. */
-    private long unwrittenBytes;
-    /** The answers were dropped to free memory and no longer count. */
-    private boolean dropped;
-
     /** How the sockets of clients are read. */
     static RecvByteBufAllocator receiveBuffers() {
         return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
@@ -129,11 +101,13 @@
     ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
         this.decoder = decoder;
+        answers = new AnswerQueue(proxy.unwrittenAnswers, this);
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        answers.setChannel(channel);
     }
 
     @Override
@@ -143,12 +117,12 @@
 
     /** Whether no request is unanswered. */
     boolean isIdle() {
-        return unanswered == 0;
+        return answers.unanswered() == 0;
     }
 
     /** The number of requests without an answer. */
     int unanswered() {
-        return unanswered;
+        return answers.unanswered();
     }
 
     /** The connection exceeds the limit: its requests are refused, and it is closed after the first one. */
@@ -162,7 +136,7 @@
             // The framing is lost or the output is shut down; the client sends the command again elsewhere.
             return;
         }
-        Slot slot = addSlot();
+        AnswerQueue.Slot slot = answers.add();
         inRead = true;
         commandInRead = true;
         if (!firstCommandSeen && !(message instanceof Command.Fault)) {
@@ -185,20 +159,12 @@
         throttle();
     }
 
-    /** Adds the slot of a request that has arrived. */
-    private Slot addSlot() {
-        Slot slot = new Slot();
-        slots.add(slot);
-        unanswered++;
-        return slot;
-    }
-
     /**
      * Answers an invalid command with an error line, and then decodes nothing for a while. Otherwise clients that
      * repeat an invalid command as soon as it is answered or the connection is closed, or that send 60 MB after one,
      * would take processor time from all others. If the framing is lost, the connection is closed after that time.
      */
-    private void handleFault(Slot slot, Command.Fault fault) {
+    private void handleFault(AnswerQueue.Slot slot, Command.Fault fault) {
         framingLost |= fault.framingLost();
         ignoringInput |= fault.framingLost();
         closing |= fault.framingLost();
@@ -216,7 +182,7 @@
 
     /** Sends an error line and closes the connection, because a command has taken too long to arrive. */
     void failPartialCommand(String line) {
-        Slot slot = addSlot();
+        AnswerQueue.Slot slot = answers.add();
         closing = true;
         partialIgnored = true;
         ignoringInput = true;
@@ -288,7 +254,7 @@
 
     /** Whether no further command may be decoded for now. */
     private boolean mustHold() {
-        return pausedAfterFault || framingLost || slots.size() >= MAX_UNANSWERED || !channel.isWritable();
+        return pausedAfterFault || framingLost || answers.size() >= MAX_UNANSWERED || !channel.isWritable();
     }
 
     /** Decodes buffered input again, unless it must still be held. */
@@ -304,32 +270,21 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        writeAnswers();
+        answers.write();
         throttle();
     }
 
     /** Answers with a line, given without its end. */
-    void answer(Slot slot, String line) {
-        answer(slot, line(line));
-    }
-
-    private static ByteBuf line(String text) {
-        return Unpooled.copiedBuffer(text + CRLF, StandardCharsets.ISO_8859_1);
+    void answer(AnswerQueue.Slot slot, String line) {
+        answer(slot, AnswerQueue.line(line));
     }
 
     /** Answers one request; the answer is sent after those of all earlier requests. Further answers are ignored. */
-    void answer(Slot slot, ByteBuf answer) {
-        if (slot.answer != null || !channel.isActive()) {
-            answer.release();
+    void answer(AnswerQueue.Slot slot, ByteBuf answer) {
+        if (!answers.answer(slot, answer)) {
             return;
         }
-        slot.answer = answer;
-        slot.exchange = null;
-        unanswered--;
-        waitingBytes += answer.readableBytes();
-        addUnwritten(answer.readableBytes());
-        writeAnswers();
-        if (unanswered == 0) {
+        if (isIdle()) {
             onAllAnswered();
         }
         proxy.unwrittenAnswers.reclaim();
@@ -337,61 +292,25 @@
 
     /** Every request that has arrived is answered, though not all answers may be written. */
     private void onAllAnswered() {
-        boolean writing = pendingWrites > 0 || !slots.isEmpty();
         if (framingLost) {
-            int delayMs = writing ? MAX_WRITE_MS : FAULT_PAUSE_MS;
+            int delayMs = answers.isWriting() ? MAX_WRITE_MS : FAULT_PAUSE_MS;
             channel.eventLoop().schedule(() -> channel.close(), delayMs, TimeUnit.MILLISECONDS);
         } else if (closing) {
             shutdownIfDone();
-        } else if (writing) {
+        } else if (answers.isWriting()) {
             channel.eventLoop().schedule(this::reportIdle, MAX_WRITE_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    /**
-     * Passes answers to Netty in the order of their requests, up to the first open request, and only as fast as the
-     * client takes them. The others stay in their slots, where their memory can still be freed.
-     */
-    private void writeAnswers() {
-        if (writingAnswers) {
-            return;
-        }
-        writingAnswers = true;
-        boolean anyWritten = false;
-        while (mayWriteAnswer()) {
-            while (mayWriteAnswer()) {
-                writeAnswer(slots.poll().answer);
-            }
-            channel.flush();
-            anyWritten = true;
-        }
-        writingAnswers = false;
-        if (anyWritten) {
-            throttle();
-        }
+    @Override
+    public void onAnswersPassedOn() {
+        throttle();
         queueShutdown();
     }
 
-    private boolean mayWriteAnswer() {
-        return !slots.isEmpty() && slots.peek().answer != null && channel.isWritable() && channel.isActive();
-    }
-
-    private void writeAnswer(ByteBuf answer) {
-        int size = answer.readableBytes();
-        waitingBytes -= size;
-        pendingWrites++;
-        channel.write(answer).addListener(f -> {
-            addUnwritten(-size);
-            onWritten();
-        });
-    }
-
-    /** An answer has been written to the kernel, or the write has failed. */
-    private void onWritten() {
-        pendingWrites--;
-        if (pendingWrites == 0 && slots.isEmpty()) {
-            reportIdle();
-        }
+    @Override
+    public void onAllWritten() {
+        reportIdle();
     }
 
     /**
@@ -406,20 +325,12 @@
 
     /** Bytes of answers that have not been passed to Netty yet. */
     long waitingBytes() {
-        return waitingBytes;
+        return answers.waitingBytes();
     }
 
     /** Bytes of answers that have not been written to the kernel yet. */
     long unwrittenBytes() {
-        return unwrittenBytes;
-    }
-
-    /** Adds to the bytes of unwritten answers, here and in the total of the proxy. */
-    private void addUnwritten(int change) {
-        if (!dropped) {
-            unwrittenBytes += change;
-            proxy.unwrittenAnswers.add(change);
-        }
+        return answers.unwrittenBytes();
     }
 
     /**
@@ -429,44 +340,20 @@
      */
     boolean reclaimWaiting() {
         if (!channel.isActive()) {
-            dropAnswers(); // the connection has just ended, and its answers are about to be released
-            return true;
-        }
-        Slot head = slots.peek();
-        if (head != null && head.exchange != null) {
-            proxy.giveUp(head.exchange);
+            abort(); // the connection has just ended, and its answers are about to be released
             return true;
         }
-        for (Iterator<Slot> newestFirst = slots.descendingIterator(); newestFirst.hasNext(); ) {
-            Slot slot = newestFirst.next();
-            if (slot.answer != null && slot.answer.readableBytes() > DROPPED_VALUE_ANSWER.length() + CRLF.length()) {
-                replaceAnswer(slot);
-                return true;
-            }
+        Exchange blocking = answers.blockingRequest();
+        if (blocking == null) {
+            return answers.dropLastValue();
         }
-        return false;
-    }
-
-    private void replaceAnswer(Slot slot) {
-        int freed = slot.answer.readableBytes();
-        slot.answer.release();
-        slot.answer = line(DROPPED_VALUE_ANSWER);
-        int change = slot.answer.readableBytes() - freed;
-        waitingBytes += change;
-        addUnwritten(change);
+        proxy.giveUp(blocking);
+        return true;
     }
 
-    /** Closes the connection and drops its answers; they no longer count, although Netty frees some a little later. */
-    void dropAnswers() {
-        proxy.unwrittenAnswers.add(-unwrittenBytes);
-        unwrittenBytes = 0;
-        waitingBytes = 0;
-        dropped = true;
-        channel.close();
-    }
-
-    /** Closes the connection at once. */
+    /** Closes the connection at once and drops its answers. */
     void abort() {
+        answers.drop();
         channel.close();
     }
 
@@ -502,7 +389,7 @@
 
     /** Has the output shut down behind the answers, once the last of them has been passed to Netty. */
     private void queueShutdown() {
-        if (!shutdownStarted || shutdownQueued || !slots.isEmpty()) {
+        if (!shutdownStarted || shutdownQueued || answers.size() > 0) {
             return;
         }
         shutdownQueued = true;
@@ -525,16 +412,7 @@
         proxy.onSessionClosed(this);
         proxy.undecodedBudget.release(sharedUndecodedBytes);
         sharedUndecodedBytes = 0;
-        for (Slot slot : slots) {
-            if (slot.answer != null) {
-                addUnwritten(-slot.answer.readableBytes());
-                slot.answer.release();
-            } else if (slot.exchange != null) {
-                proxy.onClientGone(slot.exchange);
-            }
-        }
-        slots.clear();
-        waitingBytes = 0;
+        answers.clear(proxy::onClientGone);
     }
 
     @Override
--- a/src/main/java/holdproxy/net/Exchange.java
+++ b/src/main/java/holdproxy/net/Exchange.java
@@ -9,7 +9,7 @@
     final long id;
     final Command command;
     final ClientSession session;
-    final ClientSession.Slot slot;
+    final AnswerQueue.Slot slot;
     /** When the final answer is due, on the router's clock in microseconds. */
     final long dueUs;
 
@@ -21,7 +21,7 @@
     /** The timer that fails the request if the router leaves it unanswered. */
     Future<?> overdueTimer;
 
-    Exchange(long id, Command command, ClientSession session, ClientSession.Slot slot, long dueUs) {
+    Exchange(long id, Command command, ClientSession session, AnswerQueue.Slot slot, long dueUs) {
         this.id = id;
         this.command = command;
         this.session = session;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -354,7 +354,7 @@
      *
      * @param decodeDelayUs how long the command was buffered undecoded, which counts towards the client's wait
      */
-    void handleRequest(ClientSession session, ClientSession.Slot slot, Command command, long decodeDelayUs) {
+    void handleRequest(ClientSession session, AnswerQueue.Slot slot, Command command, long decodeDelayUs) {
         if (exchanges.size() >= Math.min(MAX_OPEN_REQUESTS, config.settings.maxOpenRequests)
                 || openValueBytes + command.valueBytes() > MAX_OPEN_VALUE_BYTES) {
             session.answer(slot, busyAnswer());
@@ -375,7 +375,7 @@
         long readDelayUs = Math.max(loopLag.blockedUs(now), decodeDelayUs);
         long dueUs = now + Math.max(waitUs / 2, waitUs - reserveUs) - readDelayUs;
         Exchange exchange = new Exchange(nextRequestId++, command, session, slot, dueUs);
-        slot.exchange = exchange;
+        slot.open(exchange);
         exchanges.put(exchange.id, exchange);
         openValueBytes += command.valueBytes();
         exchange.overdueTimer = loop.schedule(
--- a/src/main/java/holdproxy/net/UnwrittenAnswers.java
+++ b/src/main/java/holdproxy/net/UnwrittenAnswers.java
@@ -49,20 +49,33 @@
             return;
         }
         reclaiming = true;
-        while (bytes > MAX_BYTES) {
-            ClientSession session = withMost(ClientSession::waitingBytes);
-            if (session.waitingBytes() > 0 && session.reclaimWaiting()) {
-                log.line("failed a request: the answers behind it or before it take too much memory");
-            } else {
-                log.line("closing a connection: its client does not read its answers");
-                withMost(ClientSession::unwrittenBytes).dropAnswers();
-            }
+        while (bytes > MAX_BYTES && reclaimOnce()) {
+            // one request or connection after another
         }
         reclaiming = false;
     }
 
-    /** The session for which the number is largest; there is one, since only sessions hold unwritten answers. */
+    /** Ends one request, or else closes one connection. Returns false if no session holds anything. */
+    private boolean reclaimOnce() {
+        ClientSession waiting = withMost(ClientSession::waitingBytes);
+        if (waiting != null && waiting.reclaimWaiting()) {
+            log.line("failed a request: the answers behind it or before it take too much memory");
+            return true;
+        }
+        ClientSession unread = withMost(ClientSession::unwrittenBytes);
+        if (unread == null) {
+            return false;
+        }
+        log.line("closing a connection: its client does not read its answers");
+        unread.abort();
+        return true;
+    }
+
+    /** The session for which the number of bytes is largest; null if it is 0 for all. */
     private ClientSession withMost(ToLongFunction<ClientSession> number) {
-        return sessions.get().stream().max(Comparator.comparingLong(number)).orElseThrow();
+        return sessions.get().stream()
+                .filter(session -> number.applyAsLong(session) > 0)
+                .max(Comparator.comparingLong(number))
+                .orElse(null);
     }
 }
