--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -5,7 +5,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -155,21 +154,14 @@
     @Test
     void everyClientOfABurstBeyondTheLimitIsAnswered() throws Exception {
         try (ProxyFixture fixture = new ProxyFixture(1, s -> s, 128)) { // 40 of the 128 descriptors are for clients
-            CountDownLatch connected = new CountDownLatch(1);
-            fixture.loop.execute(() -> {
-                try {
-                    connected.await();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
+            LoopPause pause = LoopPause.begin(fixture);
             List<TestConnection> burst = new ArrayList<>();
             for (int i = 0; i < 48; i++) {
                 TestConnection client = fixture.openClient();
                 client.send("mn\r\n");
                 burst.add(client);
             }
-            connected.countDown();
+            pause.resume();
             for (TestConnection client : burst) {
                 String line = client.readLine();
                 assertTrue("MN".equals(line) || "SERVER_ERROR busy 500".equals(line), "unexpected answer: " + line);
@@ -191,21 +183,14 @@
             }
             fixture.openClient()
                     .expectEnd(); // sends nothing and is closed after 2 s: the others have been idle for longer
-            CountDownLatch connected = new CountDownLatch(1);
-            fixture.loop.execute(() -> {
-                try {
-                    connected.await();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
+            LoopPause pause = LoopPause.begin(fixture);
             List<TestConnection> burst = new ArrayList<>();
             for (int i = 0; i < 15; i++) { // few enough that all are accepted before the first one surely has been read
                 TestConnection client = fixture.openClient();
                 client.send("mn\r\n");
                 burst.add(client);
             }
-            connected.countDown();
+            pause.resume();
             for (TestConnection client : burst) {
                 client.expectLines("MN");
             }
--- a/src/test/java/holdproxy/net/ClientGoneTest.java
+++ b/src/test/java/holdproxy/net/ClientGoneTest.java
@@ -5,7 +5,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
@@ -35,37 +34,12 @@
     private static final UnaryOperator<String> WITH_HEDGING =
             s -> s.replace("\"secondCopies\":false", "\"secondCopies\":true");
 
-    /** Blocks the proxy's event loop, so that what a test does meanwhile is pending when the loop resumes. */
-    private static final class LoopPause {
-        private final CountDownLatch paused = new CountDownLatch(1);
-        private final CountDownLatch resumed = new CountDownLatch(1);
-
-        static LoopPause begin(ProxyFixture f) throws InterruptedException {
-            LoopPause pause = new LoopPause();
-            f.loop.execute(pause::pauseLoop);
-            pause.paused.await();
-            return pause;
-        }
-
-        void pauseLoop() {
-            paused.countDown();
-            try {
-                resumed.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-
-        /**
-         * Resumes the loop once twice {@link ClientGoneTest#LATE_ATTEMPT_MS} have passed since {@code sinceNanos},
-         * the time of the disconnect, so that every attempt that starts afterwards is too late.
-         */
-        void resumeLate(long sinceNanos) {
-            while (System.nanoTime() - sinceNanos < TimeUnit.MILLISECONDS.toNanos(2 * LATE_ATTEMPT_MS)) {
-                Thread.onSpinWait();
-            }
-            resumed.countDown();
-        }
+    /**
+     * Resumes the loop once twice {@link #LATE_ATTEMPT_MS} have passed since {@code sinceNanos}, the time of the
+     * disconnect, so that every attempt that starts afterwards is too late.
+     */
+    private static void resumeLate(LoopPause pause, long sinceNanos) {
+        pause.resumeAfter(sinceNanos, 2 * LATE_ATTEMPT_MS);
     }
 
     /** Serves one request, so that the connection to the only node is open and idle; returns the node's end of it. */
@@ -128,7 +102,7 @@
             LoopPause pause = LoopPause.begin(f);
             client.send("mn\r\nmn\r\n" + ProxyFixture.readCommand("a1", 4000) + ProxyFixture.readCommand("a2", 4000));
             client.reset();
-            pause.resumed.countDown();
+            pause.resume();
             assertOnlyOtherClientServed(f, node, "b1");
         }
     }
@@ -145,7 +119,7 @@
             LoopPause pause = LoopPause.begin(f);
             client.send(ProxyFixture.readCommand("a1", 4000));
             client.close();
-            pause.resumeLate(System.nanoTime());
+            resumeLate(pause, System.nanoTime());
             assertOnlyOtherClientServed(f, node, "b1");
         }
     }
@@ -161,7 +135,7 @@
                 client.send(ProxyFixture.readCommand("a" + i, 4000));
                 client.close();
             }
-            pause.resumeLate(System.nanoTime());
+            resumeLate(pause, System.nanoTime());
             assertOnlyOtherClientServed(f, node, "b1");
         }
     }
@@ -192,7 +166,7 @@
             LoopPause pause = LoopPause.begin(f);
             TestConnection node = fullQueue.acceptNew(); // returns once the kernel has retried the connect
             client.close();
-            pause.resumeLate(System.nanoTime());
+            resumeLate(pause, System.nanoTime());
             TestConnection other = f.openClient();
             other.send("mn\r\n");
             other.expectLines("MN");
@@ -214,7 +188,7 @@
             LoopPause pause = LoopPause.begin(f);
             first.send("SERVER_ERROR busy\r\n");
             client.close();
-            pause.resumeLate(System.nanoTime());
+            resumeLate(pause, System.nanoTime());
             assertNothingMoreSent(f, nodes);
         }
     }
@@ -241,10 +215,10 @@
             while (System.nanoTime() - sent < TimeUnit.MILLISECONDS.toNanos(HEDGE_DUE_MS)) {
                 Thread.onSpinWait();
             }
-            firstPause.resumed.countDown();
-            secondPause.paused.await();
+            firstPause.resume();
+            secondPause.awaitPaused();
             client.close();
-            secondPause.resumeLate(System.nanoTime());
+            resumeLate(secondPause, System.nanoTime());
             assertNothingMoreSent(f, nodes);
         }
     }
@@ -299,7 +273,7 @@
             new Thread(warmup, "warm-up").start();
             client.send(ProxyFixture.readCommand("a1", 4900));
             client.close();
-            pause.resumeLate(System.nanoTime());
+            resumeLate(pause, System.nanoTime());
             assertOnlyOtherClientServed(f, node, "b1");
             assertEquals(SocketWarmup.ROUNDS, warmup.get());
         }
--- a/src/test/java/holdproxy/net/DrainTest.java
+++ b/src/test/java/holdproxy/net/DrainTest.java
@@ -6,7 +6,6 @@
 import holdproxy.Router;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -125,14 +124,7 @@
     @Test
     void clientsInTheAcceptQueueAreServedBeforeTheListenerCloses() throws Exception {
         try (ProxyFixture fixture = new ProxyFixture(1)) {
-            CountDownLatch connected = new CountDownLatch(1);
-            fixture.loop.execute(() -> {
-                try {
-                    connected.await();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
+            LoopPause pause = LoopPause.begin(fixture);
             List<TestConnection> queued = new ArrayList<>();
             for (int i = 0; i < 100; i++) {
                 TestConnection client = fixture.openClient();
@@ -144,7 +136,7 @@
             while (drain.getState() != Thread.State.TIMED_WAITING) {
                 Thread.onSpinWait(); // the thread waits only after it has queued its task on the event loop
             }
-            connected.countDown();
+            pause.resume();
             for (TestConnection client : queued) {
                 client.expectLines("MN");
                 client.expectEnd();
--- a/src/test/java/holdproxy/net/EventLoopPauseTest.java
+++ b/src/test/java/holdproxy/net/EventLoopPauseTest.java
@@ -4,8 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -37,8 +35,6 @@
             for (int i = 0; i < REQUESTS; i++) {
                 clients.add(f.openClient());
             }
-            CountDownLatch paused = new CountDownLatch(1);
-            CountDownLatch resumed = new CountDownLatch(1);
             for (int i = 0; i < REQUESTS; i++) {
                 sendOnNewNodeConnection(f, clients.get(i), i, 3000);
             }
@@ -53,20 +49,9 @@
             for (TestConnection node : nodes) {
                 assertTrue(node.readLine().contains(" Ob"));
             }
-            f.loop.execute(() -> {
-                paused.countDown();
-                try {
-                    resumed.await();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
-            paused.await();
-            long start = System.nanoTime();
-            while (System.nanoTime() - start < TimeUnit.MILLISECONDS.toNanos(2 * REQUEST_DEADLINE_MS)) {
-                Thread.onSpinWait(); // until all requests are far past their deadlines
-            }
-            resumed.countDown();
+            LoopPause pause = LoopPause.begin(f);
+            // until all requests are far past their deadlines
+            pause.resumeAfter(System.nanoTime(), 2 * REQUEST_DEADLINE_MS);
             for (TestConnection client : clients) {
                 assertTrue(client.readLine().startsWith("SERVER_ERROR "));
             }
--- a/src/test/java/holdproxy/net/UndecodedInputTest.java
+++ b/src/test/java/holdproxy/net/UndecodedInputTest.java
@@ -10,7 +10,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -26,14 +25,7 @@
 
     /** Connects the peers and fills their sockets while the event loop is blocked, so that one pass can read it all. */
     private static List<SocketChannel> openPeersWithFullSockets(ProxyFixture fixture) throws Exception {
-        CountDownLatch filled = new CountDownLatch(1);
-        fixture.loop.execute(() -> {
-            try {
-                filled.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
+        LoopPause pause = LoopPause.begin(fixture);
         List<SocketChannel> peers = new ArrayList<>();
         for (int i = 0; i < PEERS; i++) {
             SocketChannel peer = SocketChannel.open(fixture.proxy.address());
@@ -45,7 +37,7 @@
                 // writes until the socket takes no more
             }
         }
-        filled.countDown();
+        pause.resume();
         for (SocketChannel peer : peers) {
             expectError(peer);
         }
