A purchase avoids connections on which a late copy of a refusal may arrive

The copy of an answer with an id is recognized by it; error lines have none. A connection is idle as soon as 'SERVER_ERROR busy' has been read, and the most recently used one is taken first, so the next request often went out on it within milliseconds; the copy was taken for that request's answer and so for a proof that it never ran: it was sent to another node, or the client told busy.

Change: LateCopies knows for each connection whether an answer without an id may be a copy: for 0.2 s after the last such answer (0.05 s on the network, and 0.15 s for which the process may be held up with the copy unread), and beyond, until an answer with an id shows the order again, if a copy may have been taken for an answer. This covers each error line, of every class. Requests that must not run twice use another idle connection, or a new one; reads prefer one. If descriptors allow no other connection, a refusal that may be a copy counts as an error, which may have run.

--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -38,6 +38,8 @@
     private boolean becomingIdle;
     /** The id of the last answer, by which a duplicate of that answer is recognized and discarded. */
     private String lastAnswerId;
+    /** Tells whether an error line may be a copy of an earlier one. */
+    private final LateCopies lateCopies = new LateCopies();
     /** The timer that closes the connection if an answer that has begun does not continue; null if none is due. */
     private Future<?> stallTimer;
 
@@ -70,6 +72,11 @@
         return !closed && !retired && (!connected || channel.isActive());
     }
 
+    /** Whether an error line on this connection need not be the answer to the attempt whose turn it is. */
+    boolean mayReadLateCopies() {
+        return lateCopies.arePossible(pool.pools.proxy.now());
+    }
+
     /** Assigns an attempt to this connection and writes its command as soon as possible. */
     void add(Attempt attempt) {
         attempt.connection = this;
@@ -187,15 +194,31 @@
         retired |= answer.rejected; // The node may close the connection or may have read only part of the request.
         attempts.poll();
         lastAnswerId = answer.opaque;
+        Router.Outcome outcome = outcomeOf(answer, due);
         becomingIdle = attempts.isEmpty();
         if (!due.ended) {
-            finish(due, answer.outcome, answer);
+            finish(due, outcome, answer);
         }
         if (retired && attempts.stream().allMatch(other -> other.ended)) {
             close();
         }
     }
 
+    /**
+     * Returns the outcome that an answer gives its attempt. A refusal that may be a copy of an earlier one does not prove
+     * that the node did not run the request, which matters unless the request may be repeated.
+     */
+    private Router.Outcome outcomeOf(Answer answer, Attempt due) {
+        if (answer.opaque != null) {
+            lateCopies.onIdentifiedAnswer();
+            return answer.outcome;
+        }
+        boolean mayBeCopy = mayReadLateCopies();
+        lateCopies.onUnidentifiedAnswer(pool.pools.proxy.now());
+        boolean isUnproven = mayBeCopy && answer.outcome.neverRan && !pool.pools.mayRepeat(due);
+        return isUnproven ? Router.Outcome.ERROR : answer.outcome;
+    }
+
     /**
      * Returns the connection to the pool if its last attempt was answered. This waits for the end of the read
      * because bytes that follow the answer in the same read would otherwise be taken for the answer to the next
--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -45,12 +46,21 @@
      * connection arrive in the order of its requests, so a slow answer delays all those behind it, and an unreadable
      * answer makes them unusable. A connection is therefore shared only when the descriptor limit allows no new one.
      * If none can be shared either, the attempt fails.
+     *
+     * <p>A request that must not run twice avoids connections on which a late copy of a refusal may arrive: taken for
+     * its own answer, the copy would prove falsely that the node did not run it.
      */
     void send(Attempt attempt) {
-        NodeConnection connection = takeIdle();
+        NodeConnection connection = takeIdle(false);
+        if (connection == null && pools.mayRepeat(attempt)) {
+            connection = takeIdle(true);
+        }
         if (connection == null) {
             connection = pools.open(this);
         }
+        if (connection == null) {
+            connection = takeIdle(true);
+        }
         if (connection == null) {
             connection = leastLoaded();
         }
@@ -62,12 +72,18 @@
         connection.add(attempt);
     }
 
-    /** Removes and returns the most recently used idle connection; null if there is none. */
-    private NodeConnection takeIdle() {
-        while (!idleConnections.isEmpty()) {
-            NodeConnection connection = idleConnections.pollLast();
-            cancelIdleTimer(connection);
-            if (connection.isUsable()) {
+    /**
+     * Removes and returns the most recently used idle connection; null if there is none.
+     *
+     * @param withLateCopies whether it may be one on which a late copy of an earlier answer may arrive
+     */
+    private NodeConnection takeIdle(boolean withLateCopies) {
+        Iterator<NodeConnection> latestFirst = idleConnections.descendingIterator();
+        while (latestFirst.hasNext()) {
+            NodeConnection connection = latestFirst.next();
+            if (connection.isUsable() && (withLateCopies || !connection.mayReadLateCopies())) {
+                latestFirst.remove();
+                cancelIdleTimer(connection);
                 return connection;
             }
         }
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -103,6 +103,11 @@
         return classes[attempt.exchange.command.requestClass].targetUs;
     }
 
+    /** Whether the attempt's request may run more than once without harm. */
+    boolean mayRepeat(Attempt attempt) {
+        return classes[attempt.exchange.command.requestClass].effect == Router.Effect.SAFE;
+    }
+
     /** Runs a task on the event loop after a delay. */
     Future<?> schedule(long delayUs, Runnable task) {
         return loop.schedule(task, delayUs, TimeUnit.MICROSECONDS);
--- /dev/null
+++ b/src/test/java/holdproxy/net/LateCopiesTest.java
@@ -0,0 +1,192 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.Callable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Refusals of cache nodes that arrive a second time, when the next request may be out on their connection. */
+@Timeout(60)
+class LateCopiesTest {
+    private static final long START_US = 1_000_000;
+    /** The lowest limit on descriptors, and the number of connections to cache nodes that it leaves. */
+    private static final int MIN_DESCRIPTORS = 128;
+
+    private static final int MAX_NODE_CONNECTIONS = 24;
+
+    /** Reads the next write at a node, with its value, and asserts its id. */
+    private static void expectWrite(TestConnection node, String id) throws Exception {
+        assertTrue(node.readLine().contains(" O" + id + " "));
+        node.expectLines("hello");
+    }
+
+    @Test
+    void copyMayFollowAnAnswerWithoutAnIdForAWhile() {
+        LateCopies copies = new LateCopies();
+        assertFalse(copies.arePossible(START_US));
+        copies.onUnidentifiedAnswer(START_US);
+        assertTrue(copies.arePossible(START_US + LateCopies.WINDOW_US - 1));
+        assertFalse(copies.arePossible(START_US + LateCopies.WINDOW_US));
+    }
+
+    /** An answer with an id says nothing about a copy that is still on its way. */
+    @Test
+    void answerWithAnIdDoesNotShortenTheWait() {
+        LateCopies copies = new LateCopies();
+        copies.onUnidentifiedAnswer(START_US);
+        copies.onIdentifiedAnswer();
+        assertTrue(copies.arePossible(START_US + LateCopies.WINDOW_US - 1));
+    }
+
+    /** If the second of two answers without an id was a copy, the true answer follows, however late. */
+    @Test
+    void afterAPossibleCopyOnlyAnIdShowsTheOrderOfTheAnswers() {
+        LateCopies copies = new LateCopies();
+        copies.onUnidentifiedAnswer(START_US);
+        long copyUs = START_US + LateCopies.WINDOW_US / 2;
+        copies.onUnidentifiedAnswer(copyUs);
+        long muchLaterUs = copyUs + 100 * LateCopies.WINDOW_US;
+        assertTrue(copies.arePossible(muchLaterUs));
+        copies.onUnidentifiedAnswer(muchLaterUs);
+        copies.onIdentifiedAnswer();
+        assertFalse(copies.arePossible(muchLaterUs + LateCopies.WINDOW_US));
+    }
+
+    /** The result of a scenario that shows something only if it took less time than a copy may. */
+    private enum Scenario {
+        SHOWN,
+        TOO_SLOW,
+        /** The proxy's own admission control refused the request. */
+        NOT_FORWARDED
+    }
+
+    /** Repeats a scenario until it shows something; the time limit of the test ends the attempts. */
+    private static void repeatUntilShown(Callable<Scenario> scenario) throws Exception {
+        while (scenario.call() != Scenario.SHOWN) {
+            // tries again
+        }
+    }
+
+    /** Has the only node refuse a write, and returns its connection. */
+    private static TestConnection refuseWrite(ProxyFixture fixture, TestConnection client, String requestClass)
+            throws Exception {
+        client.send(ProxyFixture.writeCommand(requestClass, "c1", 4000));
+        TestConnection node = fixture.nodes.get(0).awaitConnection();
+        expectWrite(node, "c1");
+        node.send("SERVER_ERROR busy\r\n");
+        assertTrue(client.readLine().startsWith("SERVER_ERROR busy"));
+        return node;
+    }
+
+    /** Waits for input from any of the connections, or for a new one to the node; null means a new one. */
+    private static TestConnection awaitInput(ProxyFixture fixture, int acceptedBefore, TestConnection... connections)
+            throws Exception {
+        while (fixture.nodes.get(0).acceptedCount() == acceptedBefore) {
+            for (TestConnection connection : connections) {
+                if (connection.socket.getInputStream().available() > 0) {
+                    return connection;
+                }
+            }
+            Thread.onSpinWait();
+        }
+        return null;
+    }
+
+    private static boolean isWindowOver(long sinceNanos) {
+        return (System.nanoTime() - sinceNanos) / 1000 >= LateCopies.WINDOW_US;
+    }
+
+    /**
+     * Guards against purchases that run twice: the copy of a refusal was taken for the answer to a purchase that had
+     * just begun on the same connection, and so for a proof that it had not run.
+     */
+    @Test
+    void writeThatMustNotRunTwiceIsNotSentWhereACopyMayArrive() throws Exception {
+        for (String requestClass : new String[] {"charge", "submit"}) {
+            repeatUntilShown(() -> sendWriteAfterARefusal(requestClass));
+        }
+    }
+
+    private static Scenario sendWriteAfterARefusal(String requestClass) throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(1)) {
+            TestConnection client = fixture.openClient();
+            long startNanos = System.nanoTime();
+            TestConnection refusing = refuseWrite(fixture, client, requestClass);
+            client.send(ProxyFixture.writeCommand(requestClass, "c2", 4000));
+            TestConnection withInput = awaitInput(fixture, 1, client, refusing);
+            if (withInput == client) {
+                return Scenario.NOT_FORWARDED;
+            }
+            if (withInput == refusing) {
+                assertTrue(isWindowOver(startNanos), "sent on the connection on which a copy may arrive");
+                return Scenario.TOO_SLOW;
+            }
+            TestConnection other = fixture.nodes.get(0).awaitConnection();
+            expectWrite(other, "c2");
+            refusing.send("SERVER_ERROR busy\r\n");
+            refusing.expectEnd();
+            other.send("HD Oc2 c7\r\n");
+            client.expectLines("HD Oc2 c7");
+            return Scenario.SHOWN;
+        }
+    }
+
+    /** A read may run twice, so it needs no other connection. */
+    @Test
+    void readIsSentOnTheConnectionOfARefusal() throws Exception {
+        repeatUntilShown(() -> {
+            try (ProxyFixture fixture = new ProxyFixture(1)) {
+                TestConnection client = fixture.openClient();
+                TestConnection node = refuseWrite(fixture, client, "charge");
+                client.send(ProxyFixture.readCommand("a1", 4000));
+                if (awaitInput(fixture, 1, client, node) == client) {
+                    return Scenario.NOT_FORWARDED;
+                }
+                assertEquals(1, fixture.nodes.get(0).acceptedCount());
+                assertTrue(node.readLine().contains(" Oa1 "));
+                node.send("VA 1 Oa1\r\n1\r\n");
+                client.expectLines("VA 1 Oa1", "1");
+                return Scenario.SHOWN;
+            }
+        });
+    }
+
+    /** Where descriptors allow no other connection, a refusal that may be a copy is no proof. */
+    @Test
+    void refusalThatMayBeACopyDoesNotAllowARefusalToTheClient() throws Exception {
+        repeatUntilShown(LateCopiesTest::refuseTwiceOnASharedConnection);
+    }
+
+    private static Scenario refuseTwiceOnASharedConnection() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(
+                1,
+                s -> s.replace("\"multiplex\":1", "\"multiplex\":4")
+                        .replace("\"secondCopies\":false", "\"secondCopies\":true"),
+                MIN_DESCRIPTORS)) {
+            TestConnection client = fixture.openClient();
+            client.send(ProxyFixture.writeCommand("charge", "c1", 4000));
+            TestConnection node = fixture.nodes.get(0).awaitConnection();
+            expectWrite(node, "c1");
+            TestConnection reader = fixture.openClient();
+            for (int i = 1; i < MAX_NODE_CONNECTIONS; i++) {
+                reader.send(ProxyFixture.readCommand("a" + i, 4000));
+                fixture.nodes.get(0).awaitConnection();
+            }
+            client.send(ProxyFixture.writeCommand("charge", "c2", 4000));
+            expectWrite(node, "c2");
+            long startNanos = System.nanoTime();
+            node.send("SERVER_ERROR busy\r\n");
+            assertTrue(client.readLine().startsWith("SERVER_ERROR busy"));
+            node.send("SERVER_ERROR busy\r\n");
+            String answer = client.readLine();
+            if (isWindowOver(startNanos)) {
+                return Scenario.TOO_SLOW;
+            }
+            assertEquals("SERVER_ERROR failed", answer);
+            return Scenario.SHOWN;
+        }
+    }
+}
