--- a/src/test/java/holdproxy/net/DescriptorLimitTest.java
+++ b/src/test/java/holdproxy/net/DescriptorLimitTest.java
@@ -128,20 +128,7 @@
                         known,
                         ProxyFixture.SETTINGS.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":60000.0"),
                         DESCRIPTOR_LIMIT));
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp",
-                System.getProperty("java.class.path"),
-                "holdproxy.Main",
-                "serve");
-        builder.environment().putAll(ProxyFixture.environment(config, hostAndPort(discoveryAddress)));
-        builder.environment().put("LB_LISTEN", hostAndPort(listen));
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
-        return builder.start();
-    }
-
-    private static String hostAndPort(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        return ProxyProcess.start(folder, config, listen, ProxyProcess.hostAndPort(discoveryAddress));
     }
 
     private static String entry(String id, TestConnection.Listener node, String state) {
--- a/src/test/java/holdproxy/net/StartTest.java
+++ b/src/test/java/holdproxy/net/StartTest.java
@@ -85,7 +85,7 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         InetSocketAddress listen = freeAddress();
         Map<String, String> env = new HashMap<>(ProxyFixture.environment(config, "127.0.0.1:1"));
-        env.put("LB_LISTEN", hostAndPort(listen));
+        env.put("LB_LISTEN", ProxyProcess.hostAndPort(listen));
         Proxy proxy = Proxy.create(Config.load(env), loop);
         try {
             proxy.openWithWarmup(() -> {
@@ -131,7 +131,7 @@
         try (ServerSocket holder = bindRandomLoopbackAddress()) {
             InetSocketAddress listen = (InetSocketAddress) holder.getLocalSocketAddress();
             Map<String, String> env = new HashMap<>(ProxyFixture.environment(config, "127.0.0.1:1"));
-            env.put("LB_LISTEN", hostAndPort(listen));
+            env.put("LB_LISTEN", ProxyProcess.hostAndPort(listen));
             FutureTask<Proxy> start = new FutureTask<>(() -> Proxy.start(Config.load(env), loop));
             new Thread(start, "start").start();
             Thread.sleep(4000); // the address stays in use for this long
@@ -163,7 +163,9 @@
         try (ServerSocket holder = bindRandomLoopbackAddress()) {
             InetSocketAddress listen = (InetSocketAddress) holder.getLocalSocketAddress();
             Process proxy = start(listen);
-            awaitLogLine(proxy, "holdproxy: address " + hostAndPort(listen) + " is in use: retrying for 6600 ms");
+            awaitLogLine(
+                    proxy,
+                    "holdproxy: address " + ProxyProcess.hostAndPort(listen) + " is in use: retrying for 6600 ms");
             proxy.destroy();
             awaitLogLine(proxy, "holdproxy: draining: 0 requests open");
             holder.close();
@@ -190,22 +192,8 @@
         Path config = folder.resolve("config.json");
         Files.writeString(
                 config, ProxyFixture.configurationJson(ProxyFixture.nodeList(1, true), ProxyFixture.SETTINGS, 1024));
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xlog:class+load:file=" + folder.resolve("loaded"),
-                "-cp",
-                System.getProperty("java.class.path"),
-                "holdproxy.Main",
-                "serve");
-        builder.environment().putAll(ProxyFixture.environment(config, "127.0.0.1:1"));
-        builder.environment().put("LB_LISTEN", hostAndPort(listen));
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
-        return builder.start();
-    }
-
-    /** Returns the address as {@code HOST:PORT}. */
-    private static String hostAndPort(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        String classLog = "-Xlog:class+load:file=" + folder.resolve("loaded");
+        return ProxyProcess.start(folder, config, listen, "127.0.0.1:1", classLog);
     }
 
     /** Returns a free port on a random loopback address, where no other process takes it before the program does. */
