After SIGTERM every request that is taken gets its answer before the process exits

Cause: ClientSession.closeWhenAnswered ends a connection when nothing is open on it, which does not happen under a client that never pauses, nor while a request is out at a hanging node; until then every command was taken with its full wait, beyond the exit of the process (Proxy.maxDrainUs).

Change: Drain, moved out of Proxy, knows the last moment for answers, 0.25 s before the exit (0.15 s for which the process may be held up, and the way to the clients). Requests are due then at the latest; what is open then gets its final answer, and later requests are refused, so each connection reaches its end. A connection whose socket had not been read is not ended before it has been. Half a command does not hold a connection beyond that moment.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -79,6 +79,8 @@
     private boolean framingLost;
     /** Whether the close no longer waits for the rest of a command that has arrived in part. */
     private boolean partialIgnored;
+    /** Input may have arrived that was not read from the socket, because too much was buffered. */
+    private boolean mayHaveUnreadInput;
     /** A task that resumes decoding is scheduled. */
     private boolean resumeScheduled;
     /** When the bytes behind an invalid command arrived; 0 if there are none. */
@@ -230,10 +232,18 @@
         if (mayRead && !channel.config().isAutoRead()) {
             // The socket may hold more input, with the disconnect of the client behind it.
             proxy.catchUp.begin();
+            proxy.catchUp.runWhenCaughtUp(this::onUnreadInputRead);
         }
+        mayHaveUnreadInput |= !mayRead;
         channel.config().setAutoRead(mayRead);
     }
 
+    /** What had arrived while the socket was not read has been read, unless that was too much again. */
+    private void onUnreadInputRead() {
+        mayHaveUnreadInput = !channel.config().isAutoRead();
+        shutdownIfDone();
+    }
+
     /**
      * Charges the undecoded bytes beyond the session's own limit to the shared budget. Returns whether more may be
      * read from the socket.
@@ -363,13 +373,30 @@
         shutdownIfDone();
     }
 
+    /** Closes the connection once everything that has arrived is answered, but does not wait for the client any more. */
+    void closeBeforeExit() {
+        closing = true;
+        partialIgnored = true;
+        pausedAfterFault = false;
+        throttle();
+        shutdownIfDone();
+    }
+
     /** Shuts the output down if the connection is to be closed and nothing is left to answer. */
     private void shutdownIfDone() {
-        if (closing && !framingLost && isIdle() && !inRead && (partialIgnored || !decoder.hasPartialMessage())) {
+        if (closing && !framingLost && isIdle() && !inRead && hasReadEverything()) {
             shutdownOutput();
         }
     }
 
+    /** Whether no command is left to read or to decode, of those that the close waits for. */
+    private boolean hasReadEverything() {
+        if (mayHaveUnreadInput && !ignoringInput) {
+            return false;
+        }
+        return !decoder.hasPartialMessage() || partialIgnored && (ignoringInput || !decoder.isHeld());
+    }
+
     /**
      * Shuts the output down, and closes the connection when the client has closed its side or after a timeout.
      * Closing a socket with unread input makes the kernel send a reset, which can overtake the last answer. Input
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -16,7 +16,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
@@ -41,17 +40,6 @@
     private static final long TRANSIT_US = 5_000;
     /** A request that the router leaves unanswered for this long after it is due is failed by the proxy. */
     private static final long UNANSWERED_TIMEOUT_US = 15_000;
-    /**
-     * How long the proxy accepts connections after SIGTERM. New connections still arrive for 0.4 s, and
-     * connections that arrive after 0.7 s may be cut off.
-     */
-    private static final long DRAIN_ACCEPT_MS = 500;
-    /** SIGKILL follows SIGTERM after at least the longest deadline of a request class plus this time. */
-    private static final long KILL_DELAY_US = 700_000;
-    /** A longest deadline that is shorter than this counts as this long in the time until SIGKILL. */
-    private static final long KILL_MIN_DEADLINE_US = 3_000_000;
-    /** The part of the time before SIGKILL that is kept for the last log line and the exit. */
-    private static final long EXIT_MARGIN_US = 100_000;
     /** A pause of the event loop that is longer than this is logged. */
     private static final long LOGGED_PAUSE_US = 50_000;
     /**
@@ -99,7 +87,7 @@
     /** Calls to the router that wait until the running one returns. */
     private final ArrayDeque<Runnable> pendingCalls = new ArrayDeque<>();
 
-    private final CountDownLatch drained = new CountDownLatch(1);
+    private final Drain drain;
     /** Whether a call to the router is running. */
     private boolean inCall;
 
@@ -110,8 +98,6 @@
     /** Whether a client other than the warm-up has connected. */
     private boolean clientSeen;
 
-    private boolean draining;
-
     private Proxy(Config config, EventLoop loop) {
         this.config = config;
         this.loop = loop;
@@ -121,6 +107,7 @@
         int maxSessions = available / 2;
         admission = new Admission(this, maxSessions, config.maxDescriptors / 4, loop);
         unwrittenAnswers = new UnwrittenAnswers(admission::sessions, log);
+        drain = new Drain(config.settings, this::now, loop, log, listener, admission, this::endOpenRequests);
         catchUp = new CatchUp(loop);
         names = new Command.Names(new HashMap<>(), new HashMap<>());
         for (int i = 0; i < config.settings.classes.length; i++) {
@@ -155,7 +142,7 @@
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
-                            proxy.drain(DRAIN_ACCEPT_MS);
+                            proxy.drain(Drain.ACCEPT_MS);
                             Runtime.getRuntime().halt(0);
                         },
                         "drain"));
@@ -237,7 +224,7 @@
 
     /** How long binding is retried: after a restart the previous process may still be answering requests. */
     static long maxBindUs(Router.Settings settings) {
-        return maxDrainUs(settings) + BIND_MARGIN_US;
+        return Drain.maxDurationUs(settings) + BIND_MARGIN_US;
     }
 
     /** Applies a new configuration that has been validated; only the address of discovery may change. */
@@ -336,7 +323,7 @@
     /** The session has no open request, and its answers have been written. */
     void onSessionIdle(ClientSession session) {
         admission.onIdle(session);
-        if (draining && !listener.isOpen()) {
+        if (drain.closesSessions()) {
             session.closeWhenAnswered();
         }
     }
@@ -344,7 +331,7 @@
     /** The connection of the session is closed. */
     void onSessionClosed(ClientSession session) {
         admission.onClosed(session);
-        finishDrainIfClosed();
+        drain.onSessionClosed();
     }
 
     // ---- requests ----
@@ -355,7 +342,9 @@
      * @param decodeDelayUs how long the command was buffered undecoded, which counts towards the client's wait
      */
     void handleRequest(ClientSession session, AnswerQueue.Slot slot, Command command, long decodeDelayUs) {
-        if (exchanges.size() >= Math.min(MAX_OPEN_REQUESTS, config.settings.maxOpenRequests)
+        long now = now();
+        if (drain.refusesRequests(now)
+                || exchanges.size() >= Math.min(MAX_OPEN_REQUESTS, config.settings.maxOpenRequests)
                 || openValueBytes + command.valueBytes() > MAX_OPEN_VALUE_BYTES) {
             session.answer(slot, busyAnswer());
             return;
@@ -366,14 +355,13 @@
             session.answer(slot, "CLIENT_ERROR the id is in use");
             return;
         }
-        long now = now();
         long classDeadlineUs = config.settings.classes[command.requestClass].deadlineUs;
         long waitUs = command.waitMs == Command.WAIT_NOT_STATED ? classDeadlineUs : command.waitMs * 1000L;
         // A client cannot keep a request open for longer than the deadline of its class.
         waitUs = classDeadlineUs > 0 ? Math.min(waitUs, classDeadlineUs) : waitUs;
         long reserveUs = TRANSIT_US + loopLag.reserveUs();
         long readDelayUs = Math.max(loopLag.blockedUs(now), decodeDelayUs);
-        long dueUs = now + Math.max(waitUs / 2, waitUs - reserveUs) - readDelayUs;
+        long dueUs = drain.latestDueUs(now + Math.max(waitUs / 2, waitUs - reserveUs) - readDelayUs);
         Exchange exchange = new Exchange(nextRequestId++, command, session, slot, dueUs);
         slot.open(exchange);
         exchanges.put(exchange.id, exchange);
@@ -400,8 +388,8 @@
     }
 
     /**
-     * Ends an open request before its time with a final answer, to free the memory of the answers that wait behind it.
-     * The answer is a refusal only if no cache node can have run the request.
+     * Ends an open request before its time with a final answer, to free the memory of the answers that wait behind it
+     * or because the process is about to exit. The answer is a refusal only if no cache node can have run the request.
      */
     void giveUp(Exchange exchange) {
         boolean mayHaveRun = exchange.attempts.stream().anyMatch(attempt -> attempt.writeStarted);
@@ -668,49 +656,31 @@
     // ---- shutdown ----
 
     /**
-     * Shuts down after SIGTERM: accepts connections for a while longer, then closes each connection once its
-     * requests are answered. Blocks until all are closed or the time for it is over.
+     * Shuts down after SIGTERM; see {@link Drain}. Blocks until all connections are closed or the time for it is over.
      *
      * @param acceptMs how long the proxy accepts connections
      */
     void drain(long acceptMs) {
         loop.execute(() -> {
-            draining = true;
             log.line("draining: " + exchanges.size() + " requests open");
             if (peerLink != null) {
                 peerLink.close();
             }
-            listener.stop(acceptMs, this::closeSessions);
+            drain.begin(acceptMs);
         });
         try {
-            boolean allClosed = drained.await(maxDrainUs(config.settings), TimeUnit.MICROSECONDS);
-            log.line(allClosed ? "drained" : "drain timed out with requests open");
+            drain.awaitEnd();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    /** The longest time that a drain may take, in microseconds. */
-    static long maxDrainUs(Router.Settings settings) {
-        long longestDeadlineUs = KILL_MIN_DEADLINE_US;
-        for (Router.RequestClass requestClass : settings.classes) {
-            longestDeadlineUs = Math.max(longestDeadlineUs, requestClass.deadlineUs);
-        }
-        return longestDeadlineUs + KILL_DELAY_US - EXIT_MARGIN_US;
-    }
-
-    /** Closes each session once its requests are answered. */
-    private void closeSessions() {
-        for (ClientSession session : admission.sessions()) {
-            session.closeWhenAnswered();
-        }
-        finishDrainIfClosed();
-    }
-
-    /** Completes the drain once the listener and all sessions are closed. */
-    private void finishDrainIfClosed() {
-        if (draining && !listener.isOpen() && admission.isEmpty()) {
-            drained.countDown();
+    /** Gives every open request its final answer, because the process is about to exit. */
+    private void endOpenRequests() {
+        for (Exchange exchange : List.copyOf(exchanges.values())) {
+            if (!exchange.answered) {
+                giveUp(exchange);
+            }
         }
     }
 }
--- a/src/test/java/holdproxy/net/DrainTest.java
+++ b/src/test/java/holdproxy/net/DrainTest.java
@@ -155,8 +155,8 @@
         Router.Settings settings = new Router.Settings();
         settings.classes = new Router.RequestClass[] {new Router.RequestClass(), new Router.RequestClass()};
         settings.classes[0].deadlineUs = 500_000;
-        assertEquals(3_600_000, Proxy.maxDrainUs(settings));
+        assertEquals(3_600_000, Drain.maxDurationUs(settings));
         settings.classes[1].deadlineUs = 8_000_000;
-        assertEquals(8_600_000, Proxy.maxDrainUs(settings));
+        assertEquals(8_600_000, Drain.maxDurationUs(settings));
     }
 }
--- /dev/null
+++ b/src/test/java/holdproxy/net/DrainUnderLoadTest.java
@@ -0,0 +1,233 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * The program after SIGTERM under clients that use their connections until these end. Every request whose last byte was
+ * sent gets its answer, whatever the cache nodes do. SIGKILL follows after the longest deadline and 0.7 s.
+ */
+@Timeout(60)
+class DrainUnderLoadTest {
+    private static final int DEADLINE_MS = 3000;
+    private static final int KILL_DELAY_MS = DEADLINE_MS + 700;
+    private static final int NODES = 8;
+    private static final int SERVICE_MS = 250;
+    /** A request that is sent this long before the client sees the end may have crossed it. */
+    private static final long CROSSING_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    @TempDir
+    Path folder;
+
+    private final List<ServingNode> nodes = new ArrayList<>();
+    private final List<Client> clients = new ArrayList<>();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+    private final AtomicInteger nextId = new AtomicInteger();
+    private InetSocketAddress listen;
+    private Process proxy;
+
+    /** A request, and when its last byte was sent. */
+    private record Sent(String id, long sentNanos) {}
+
+    /** Sends reads and counts their answers until the proxy ends the connection. */
+    private final class Client {
+        private final TestConnection connection;
+        private final List<Sent> sent = new CopyOnWriteArrayList<>();
+        private final Thread reader = new Thread(this::readAnswers, "client");
+        private volatile int answered;
+        private volatile boolean ended;
+        private volatile long endNanos;
+
+        Client() throws IOException {
+            connection = TestConnection.connect(listen);
+            reader.start();
+        }
+
+        /** Sends reads with one write, unless the connection has ended. */
+        synchronized void send(int count, int waitMs) {
+            List<String> ids = new ArrayList<>();
+            StringBuilder commands = new StringBuilder();
+            for (int i = 0; i < count; i++) {
+                String id = "q" + nextId.incrementAndGet();
+                ids.add("O" + id);
+                commands.append(readCommand(id, waitMs));
+            }
+            sendText(commands.toString(), ids);
+        }
+
+        /** Sends a text that completes the reads with these ids. */
+        synchronized void sendText(String text, List<String> completedIds) {
+            if (ended) {
+                return;
+            }
+            try {
+                connection.send(text);
+                completedIds.forEach(id -> sent.add(new Sent(id, System.nanoTime())));
+            } catch (IOException e) {
+                // the connection has ended
+            }
+        }
+
+        private void readAnswers() {
+            try {
+                for (String line = connection.readLine(); line != null; line = connection.readLine()) {
+                    if (line.startsWith("VA ")) {
+                        connection.readLine();
+                    }
+                    answered++;
+                }
+            } catch (IOException e) {
+                // the proxy or the test has closed the connection
+            }
+            endNanos = System.nanoTime();
+            ended = true;
+        }
+
+        /** The requests that the proxy took and did not answer. */
+        List<String> lost() throws InterruptedException, IOException {
+            reader.join();
+            connection.close();
+            return sent.subList(answered, sent.size()).stream()
+                    .filter(request -> endNanos - request.sentNanos > CROSSING_NANOS || wasSentToNode(request.id))
+                    .map(request -> request.id)
+                    .toList();
+        }
+    }
+
+    /** Returns a read of a key of its own, so that all nodes get some. */
+    private static String readCommand(String id, int waitMs) {
+        String key = Long.toHexString(new SplittableRandom(id.hashCode()).nextLong());
+        return ProxyFixture.readCommand(id, waitMs).replace("7f3a9c21e0b4d655", key);
+    }
+
+    private boolean wasSentToNode(String id) {
+        return nodes.stream().anyMatch(node -> node.hasReceived(id));
+    }
+
+    @BeforeEach
+    void startProxyAndNodes() throws Exception {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            ServingNode node = new ServingNode(SERVICE_MS);
+            nodes.add(node);
+            entries.add("{\"id\":\"s-" + i + "\",\"addr\":\"" + node.listener.address() + "\",\"zone\":\"east\","
+                    + "\"kind\":\"full\",\"cell\":1,\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}");
+        }
+        Path config = folder.resolve("config.json");
+        String settings =
+                ProxyFixture.SETTINGS.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":" + DEADLINE_MS + ".0");
+        String known = ProxyFixture.nodeList(1, true, entries.toArray(String[]::new));
+        Files.writeString(config, ProxyFixture.configurationJson(known, settings, 1024));
+        listen = StartTest.freeAddress();
+        proxy = ProxyProcess.start(folder, config, listen, "127.0.0.1:1");
+        StartTest.connectOnceListening(proxy, listen).close();
+    }
+
+    @AfterEach
+    void stopAll() throws Exception {
+        timer.shutdownNow();
+        proxy.destroyForcibly().waitFor();
+        for (ServingNode node : nodes) {
+            node.close();
+        }
+    }
+
+    private void openClients(int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            clients.add(new Client());
+        }
+    }
+
+    /** Has each client send so many reads at once, again and again. */
+    private void sendPeriodically(int count, int waitMs, int periodMs) {
+        for (Client client : clients) {
+            timer.scheduleAtFixedRate(() -> client.send(count, waitMs), 0, periodMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Sends SIGTERM, and SIGKILL at its time. */
+    private void terminate() {
+        proxy.destroy();
+        timer.schedule(() -> proxy.destroyForcibly(), KILL_DELAY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void assertNothingLost() throws Exception {
+        List<String> lost = new ArrayList<>();
+        int sent = 0;
+        for (Client client : clients) {
+            lost.addAll(client.lost());
+            sent += client.sent.size();
+        }
+        assertEquals(List.of(), lost, "lost of " + sent + " requests");
+        assertTrue(proxy.waitFor(KILL_DELAY_MS, TimeUnit.MILLISECONDS));
+        assertEquals(0, proxy.exitValue(), "the program did not end by itself");
+    }
+
+    /** Guards against lost requests: the connections of clients that never pause had no end before the process's. */
+    @Test
+    void clientsThatSendBeforeTheirAnswersComeLoseNothing() throws Exception {
+        openClients(3);
+        sendPeriodically(3, DEADLINE_MS, 100);
+        timer.schedule(this::terminate, 1, TimeUnit.SECONDS).get();
+        assertNothingLost();
+    }
+
+    /** Guards against lost requests: some were taken although their time ended after the process had to exit. */
+    @Test
+    void requestsTakenWhileHalfOfTheNodesHangAreAnswered() throws Exception {
+        openClients(16);
+        sendPeriodically(1, 1600, 400);
+        timer.schedule(this::terminate, 1, TimeUnit.SECONDS).get();
+        nodes.subList(0, NODES / 2).forEach(ServingNode::hang);
+        assertNothingLost();
+    }
+
+    /** Guards against lost requests: the time of a request that ends late in the drain is longer than the drain. */
+    @Test
+    void requestsThatEndLateInTheDrainAreAnsweredThoughNodesHang() throws Exception {
+        openClients(24);
+        nodes.subList(0, NODES / 2).forEach(ServingNode::hang);
+        terminate();
+        for (Client client : clients) {
+            String id = "q" + nextId.incrementAndGet();
+            String command = readCommand(id, DEADLINE_MS);
+            int half = command.length() / 2;
+            timer.schedule(() -> client.sendText(command.substring(0, half), List.of()), 300, TimeUnit.MILLISECONDS);
+            timer.schedule(
+                    () -> client.sendText(command.substring(half), List.of("O" + id)), 900, TimeUnit.MILLISECONDS);
+        }
+        assertNothingLost();
+    }
+
+    /** A client that stops in the middle of a command, and a repeated SIGTERM, cost the others nothing. */
+    @Test
+    void halfACommandAndASecondSigtermChangeNothing() throws Exception {
+        openClients(1);
+        clients.get(0).sendText("mg 7f3a9c21", List.of());
+        clients.remove(0);
+        openClients(8);
+        sendPeriodically(1, 1600, 400);
+        timer.schedule(this::terminate, 1, TimeUnit.SECONDS).get();
+        nodes.subList(0, NODES / 2).forEach(ServingNode::hang);
+        timer.schedule(() -> proxy.destroy(), 300, TimeUnit.MILLISECONDS);
+        assertNothingLost();
+    }
+}
