A client that sends more than is buffered is read on and refused, so its disconnect is seen

Attempts for what was buffered began 0.58 s after the close.

Change: beyond the limit the input is decoded and refused, each request in its turn, until the socket has been read empty; refusals in a row share one place among the answers. Where input may not be decoded (0.5 s behind an invalid command), no attempt begins while the socket is not read.

--- a/src/main/java/holdproxy/net/AnswerQueue.java
+++ b/src/main/java/holdproxy/net/AnswerQueue.java
@@ -14,6 +14,8 @@
  */
 final class AnswerQueue {
     private static final String CRLF = "\r\n";
+    /** The most answers that share a place and are passed on together. */
+    private static final int MAX_REPEATS_PER_WRITE = 256;
     /** The answer to a request whose value was dropped to free memory. */
     private static final String DROPPED_VALUE_ANSWER = "SERVER_ERROR failed";
 
@@ -32,6 +34,8 @@
         private ByteBuf answer;
         /** The open request; null if the proxy answers without the router, and once it is answered. */
         private Exchange exchange;
+        /** The number of further requests with the same answer that follow this one. */
+        private int repeats;
 
         /** The request of this place has been opened; until it is answered it can be given up. */
         void open(Exchange request) {
@@ -80,6 +84,23 @@
         return slot;
     }
 
+    /**
+     * Adds a request that is answered with this line at once. Such requests in a row share one place, because a client
+     * may send any number of them behind an open request.
+     *
+     * @param line the answer, given without its end
+     */
+    void addAnswered(String line) {
+        ByteBuf answer = line(line);
+        Slot last = slots.peekLast();
+        if (last != null && answer.equals(last.answer)) {
+            answer.release();
+            last.repeats++;
+        } else {
+            answer(add(), answer);
+        }
+    }
+
     /** The number of requests in the queue: those without an answer, and those whose answers wait behind them. */
     int size() {
         return slots.size();
@@ -137,7 +158,7 @@
         boolean anyPassedOn = false;
         while (mayWrite()) {
             while (mayWrite()) {
-                passOn(slots.poll().answer);
+                passOn(takeAnswer());
             }
             channel.flush();
             anyPassedOn = true;
@@ -152,6 +173,21 @@
         return !slots.isEmpty() && slots.peek().answer != null && channel.isWritable() && channel.isActive();
     }
 
+    /** Takes the first answer, or some of those that share its place. */
+    private ByteBuf takeAnswer() {
+        Slot first = slots.peek();
+        if (first.repeats == 0) {
+            return slots.poll().answer;
+        }
+        int count = Math.min(first.repeats, MAX_REPEATS_PER_WRITE);
+        first.repeats -= count;
+        String line = first.answer.toString(StandardCharsets.ISO_8859_1);
+        ByteBuf answers = Unpooled.copiedBuffer(line.repeat(count), StandardCharsets.ISO_8859_1);
+        waitingBytes += answers.readableBytes();
+        addUnwritten(answers.readableBytes());
+        return answers;
+    }
+
     private void passOn(ByteBuf answer) {
         int size = answer.readableBytes();
         waitingBytes -= size;
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -15,6 +15,8 @@
 final class ClientSession extends SimpleChannelInboundHandler<Object> implements AnswerQueue.Listener {
     /** While this many requests are unanswered, no further ones are decoded. */
     private static final int MAX_UNANSWERED = 128;
+    /** While this many places for answers are taken, no further requests are refused either. */
+    private static final int MAX_ANSWER_PLACES = 4096;
     /** Undecoded bytes that every session may buffer; more only within a budget that all sessions share. */
     static final int MAX_UNDECODED_BYTES = 16 << 10;
     /** The size of the smallest buffer for a read of the socket, in bytes. */
@@ -81,6 +83,12 @@
     private boolean partialIgnored;
     /** Input may have arrived that was not read from the socket, because too much was buffered. */
     private boolean mayHaveUnreadInput;
+    /** A task that looks whether that input has been read is scheduled. */
+    private boolean unreadCheckScheduled;
+    /** Input was read since the last such look. */
+    private boolean readSinceCheck;
+    /** More requests have arrived than may be buffered, so they are refused until the socket has been read empty. */
+    private boolean refusingExcess;
     /** A task that resumes decoding is scheduled. */
     private boolean resumeScheduled;
     /** When the bytes behind an invalid command arrived; 0 if there are none. */
@@ -138,7 +146,6 @@
             // The framing is lost or the output is shut down; the client sends the command again elsewhere.
             return;
         }
-        AnswerQueue.Slot slot = answers.add();
         inRead = true;
         commandInRead = true;
         if (!firstCommandSeen && !(message instanceof Command.Fault)) {
@@ -146,6 +153,16 @@
             proxy.admission.onFirstCommand(this);
         }
         proxy.admission.onCommand(this);
+        if (refusingExcess && !(message instanceof Command.Fault)) {
+            answers.addAnswered(message instanceof Command.NoOp ? "MN" : proxy.busyAnswer());
+        } else {
+            handle(message);
+        }
+        throttle();
+    }
+
+    private void handle(Object message) {
+        AnswerQueue.Slot slot = answers.add();
         if (refusingRequests && !(message instanceof Command.Fault)) {
             closing = true;
             answer(slot, proxy.busyAnswer());
@@ -158,7 +175,6 @@
         } else if (message instanceof Command.Fault fault) {
             handleFault(slot, fault);
         }
-        throttle();
     }
 
     /**
@@ -204,6 +220,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         inRead = false;
+        readSinceCheck = true;
         // While decoding is held, the rest of a partial command may already be in the buffer.
         boolean endsInCommand = !ignoringInput && !decoder.isHeld() && decoder.hasPartialMessage();
         proxy.admission.onRead(this, endsInCommand, commandInRead);
@@ -217,10 +234,12 @@
 
     /**
      * Bounds memory: stops decoding while a client has many unanswered requests or does not read its answers.
-     * Further input is still read from the socket and buffered undecoded, up to a limit, because the client's
-     * disconnect comes behind it and would otherwise go unnoticed.
+     * Further input is still read from the socket and buffered undecoded, because the client's disconnect comes behind
+     * it and would otherwise go unnoticed. Beyond a limit, requests are refused as they arrive.
      */
     private void throttle() {
+        boolean hasRoom = reserveUndecoded();
+        refusingExcess |= !hasRoom && isDecodable();
         if (mustHold()) {
             decoder.hold();
         } else if (decoder.isHeld() && !resumeScheduled) {
@@ -228,28 +247,54 @@
             channel.eventLoop()
                     .execute(this::resumeDecoding); // deferred, because the decoder may be in the middle of a read
         }
-        boolean mayRead = reserveUndecoded() && (!shutdownStarted || shutdownQuietOver);
-        if (mayRead && !channel.config().isAutoRead()) {
-            // The socket may hold more input, with the disconnect of the client behind it.
-            proxy.catchUp.begin();
-            proxy.catchUp.runWhenCaughtUp(this::onUnreadInputRead);
-        }
+        boolean mayRead = hasRoom && (!shutdownStarted || shutdownQuietOver);
         mayHaveUnreadInput |= !mayRead;
         channel.config().setAutoRead(mayRead);
+        if (mayRead && mayHaveUnreadInput && !unreadCheckScheduled) {
+            checkOnceInputIsRead();
+        }
+    }
+
+    /** Looks again once the loop has had the time to read what the socket holds, with the disconnect behind it. */
+    private void checkOnceInputIsRead() {
+        unreadCheckScheduled = true;
+        readSinceCheck = false;
+        proxy.catchUp.begin();
+        proxy.catchUp.runWhenCaughtUp(this::endUnreadInput);
     }
 
-    /** What had arrived while the socket was not read has been read, unless that was too much again. */
-    private void onUnreadInputRead() {
-        mayHaveUnreadInput = !channel.config().isAutoRead();
+    /** The socket has been read empty, unless input still comes or too much is buffered again. */
+    private void endUnreadInput() {
+        unreadCheckScheduled = false;
+        if (!channel.config().isAutoRead()) {
+            return; // the next throttle() that lets the socket be read looks again
+        }
+        if (readSinceCheck && channel.isActive()) {
+            checkOnceInputIsRead();
+            return;
+        }
+        mayHaveUnreadInput = false;
+        refusingExcess = false;
+        throttle();
         shutdownIfDone();
     }
 
+    /** Whether the client may have disconnected unnoticed, behind input that has not been read. */
+    boolean mayHaveDisconnected() {
+        return mayHaveUnreadInput;
+    }
+
+    /** Whether what is buffered may be decoded, now or once earlier requests are answered. */
+    private boolean isDecodable() {
+        return !framingLost && !pausedAfterFault;
+    }
+
     /**
      * Charges the undecoded bytes beyond the session's own limit to the shared budget. Returns whether more may be
-     * read from the socket.
+     * buffered.
      */
     private boolean reserveUndecoded() {
-        boolean decodable = !framingLost && !pausedAfterFault;
+        boolean decodable = isDecodable();
         int excess = decoder.isHeld() && channel.isActive()
                 ? Math.max(0, decoder.undecodedBytes() - MAX_UNDECODED_BYTES)
                 : 0;
@@ -264,7 +309,12 @@
 
     /** Whether no further command may be decoded for now. */
     private boolean mustHold() {
-        return pausedAfterFault || framingLost || answers.size() >= MAX_UNANSWERED || !channel.isWritable();
+        if (!isDecodable()) {
+            return true;
+        }
+        return refusingExcess
+                ? answers.size() >= MAX_ANSWER_PLACES
+                : answers.size() >= MAX_UNANSWERED || !channel.isWritable();
     }
 
     /** Decodes buffered input again, unless it must still be held. */
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -112,6 +112,10 @@
             proxy.catchUp.runWhenCaughtUp(() -> writeIfReady(attempt, true));
             return;
         }
+        if (attempt.exchange.session.mayHaveDisconnected()) {
+            proxy.withdraw(attempt);
+            return;
+        }
         attempt.writeStarted = true;
         wasUsed = true;
         long remainingUs = attempt.waitUs - (proxy.now() - attempt.sentUs);
