--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -423,7 +423,7 @@
         shutdownIfDone();
     }
 
-    /** Closes the connection once everything that has arrived is answered, but does not wait for the client any more. */
+    /** Closes the connection once everything that has arrived is answered, without waiting for the client. */
     void closeBeforeExit() {
         closing = true;
         partialIgnored = true;
--- a/src/main/java/holdproxy/net/LateCopies.java
+++ b/src/main/java/holdproxy/net/LateCopies.java
@@ -5,8 +5,8 @@
  *
  * <p>A cache node's answer may arrive a second time, some milliseconds after the first. A copy with an id is recognized
  * by it. Error lines have none, so a copy of one cannot be told from the answer to the next request. If a copy was
- * taken for that answer, the true answers follow one place late, until one with an id shows to which request it belongs.
- * All times are microseconds on the proxy's clock.
+ * taken for that answer, the true answers follow one place late, until one with an id shows to which request it
+ * belongs. All times are microseconds on the proxy's clock.
  */
 final class LateCopies {
     /** The longest time between an answer and its copy on the network; the protocol says "some milliseconds". */
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -209,8 +209,8 @@
     }
 
     /**
-     * Returns the outcome that an answer gives its attempt. A refusal that may be a copy of an earlier one does not prove
-     * that the node did not run the request, which matters unless the request may be repeated.
+     * Returns the outcome that an answer gives its attempt. A refusal that may be a copy of an earlier one does not
+     * prove that the node did not run the request, which matters unless the request may be repeated.
      */
     private Router.Outcome outcomeOf(Answer answer, Attempt due) {
         if (answer.opaque != null) {
