--- a/src/test/java/holdproxy/net/ManyNodesTest.java
+++ b/src/test/java/holdproxy/net/ManyNodesTest.java
@@ -19,6 +19,9 @@
 @Timeout(60)
 class ManyNodesTest {
     private static final int NODES_AND_PROXIES = 1100;
+    /** The most cache nodes that the operators name. */
+    private static final int MOST_NODES = 3200;
+
     private static final int REQUESTS = 200;
 
     @TempDir
@@ -26,11 +29,20 @@
 
     @Test
     void servesWithElevenHundredNodesAndProxies() throws Exception {
+        serve(NODES_AND_PROXIES);
+    }
+
+    @Test
+    void servesWithThousandsOfNodes() throws Exception {
+        serve(MOST_NODES);
+    }
+
+    private void serve(int nodeCount) throws Exception {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         try (TestConnection.Listener node = new TestConnection.Listener()) {
             Proxy proxy = Proxy.start(
-                    Config.load(ProxyFixture.environment(writeConfig(node.address()), "127.0.0.1:1")), loop);
-            assertEquals(NODES_AND_PROXIES, proxy.listedNodeCount());
+                    Config.load(ProxyFixture.environment(writeConfig(node.address(), nodeCount), "127.0.0.1:1")), loop);
+            assertEquals(nodeCount, proxy.listedNodeCount());
             try (TestConnection client = TestConnection.connect(proxy.address())) {
                 for (int i = 0; i < REQUESTS; i++) {
                     client.send("mg " + Integer.toHexString(0x1000 + i) + " v Or" + i + " Pc=lookup,t=acme,d=4000\r\n");
@@ -47,12 +59,14 @@
         }
     }
 
-    private Path writeConfig(String address) throws Exception {
+    private Path writeConfig(String address, int nodeCount) throws Exception {
         List<String> entries = new ArrayList<>();
         List<String> peers = new ArrayList<>();
-        for (int i = 0; i < NODES_AND_PROXIES; i++) {
+        for (int i = 0; i < nodeCount; i++) {
             entries.add("{\"id\":\"s-" + i + "\",\"addr\":\"" + address + "\",\"zone\":\"east\",\"kind\":\"full\","
                     + "\"cell\":1,\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}");
+        }
+        for (int i = 0; i < NODES_AND_PROXIES; i++) {
             peers.add("\"127.0.0.1:" + (20_000 + i) + "\"");
         }
         String settings = ProxyFixture.SETTINGS.replace("\"balancers\":1", "\"balancers\":" + NODES_AND_PROXIES);
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -22,6 +22,10 @@
  */
 @Timeout(60)
 class ServingTest {
+    /** After this time the kernel tries again to open a connection for which a full accept queue had no room. */
+    private static final int KERNEL_CONNECT_RETRY_MS = 1000;
+    /** How much more time a node may be told than is left to the client. */
+    private static final int MAX_TOLD_SLACK_MS = 150;
     /**
      * Allows requests to share a connection to a node, and allows hedged requests. With {@link #MIN_DESCRIPTORS},
      * requests share a connection as soon as {@link #MAX_NODE_CONNECTIONS} connections are open.
@@ -322,6 +326,31 @@
         }
     }
 
+    /** A connection that opens after more than 1 s is used, and the node is told only the time that is left. */
+    @Test
+    void requestIsServedOnAConnectionThatOpensLate() throws Exception {
+        int waitMs = 4500;
+        try (ProxyFixture fixture = new ProxyFixture(
+                        1,
+                        s -> s.replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":2000.0")
+                                .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":4000.0"),
+                        1024);
+                TestConnection.FullQueueListener fullQueue = new TestConnection.FullQueueListener()) {
+            replaceNodeList(fixture, fullQueue.address());
+            TestConnection client = fixture.openClient();
+            client.send("mn\r\n" + ProxyFixture.readCommand("a1", waitMs));
+            client.expectLines("MN");
+            for (int i = 0; i < 3; i++) {
+                fixture.loop.submit(() -> {}).get(); // the proxy reads the second command and begins to connect
+            }
+            TestConnection node = fullQueue.acceptNew(30_000); // the kernel tries again after 1 s
+            int maxToldMs = waitMs - KERNEL_CONNECT_RETRY_MS + MAX_TOLD_SLACK_MS;
+            assertEquals("mg 7f3a9c21e0b4d655 v Oa1 Pc=lookup,t=acme,d=", readCommandWithoutWaitTime(node, maxToldMs));
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expectLines("VA 1 Oa1", "1");
+        }
+    }
+
     /**
      * Guards against attempts for clients that have disconnected: one that was queued behind others on a shared
      * connection was still sent once the node had read those before it.
--- a/src/test/java/holdproxy/net/SlowReaderTest.java
+++ b/src/test/java/holdproxy/net/SlowReaderTest.java
@@ -87,6 +87,18 @@
         }
     }
 
+    /** A client that reads nothing for seconds, longer than the proxy counts it as busy, gets its answers whole. */
+    @Test
+    void answersUnreadForSecondsAreCompleteWhileThereIsRoom() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(1)) {
+            TestConnection client = openClientWithUnreadAnswers(fixture);
+            fixture.loop.schedule(() -> {}, 4500, TimeUnit.MILLISECONDS).get();
+            expectAllAnswers(client);
+            client.send("mn\r\n");
+            client.expectLines("MN");
+        }
+    }
+
     /**
      * Guards against truncated answers at the end of a drain: connections were closed half a second after the proxy
      * had begun to shut them down, even if their answers were not all written yet.
--- a/src/test/java/holdproxy/net/StartTest.java
+++ b/src/test/java/holdproxy/net/StartTest.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -28,9 +29,34 @@
 /** The start of the program, from the launch of the process to its first answer. */
 @Timeout(60)
 class StartTest {
+    /** The seed of the moments at which starting proxies are killed, and the number of these. */
+    private static final long KILL_SEED = 32;
+
+    private static final int KILLS = 10;
+
     @TempDir
     Path folder;
 
+    /** A proxy that is killed in its first second leaves nothing behind that keeps the next one from serving. */
+    @Test
+    void startSucceedsAfterKillsInTheFirstSecond() throws Exception {
+        InetSocketAddress listen = freeAddress();
+        SplittableRandom random = new SplittableRandom(KILL_SEED);
+        for (int i = 0; i < KILLS; i++) {
+            Process killed = start(listen);
+            killed.waitFor(random.nextInt(1000), TimeUnit.MILLISECONDS); // returns early only if the program ends
+            assertTrue(killed.isAlive(), "the program ended by itself");
+            killed.destroyForcibly().waitFor();
+        }
+        Process proxy = start(listen);
+        try {
+            assertEquals("MN", awaitNoOpAnswer(proxy, listen));
+        } finally {
+            proxy.destroy();
+            assertTrue(proxy.waitFor(30, TimeUnit.SECONDS));
+        }
+    }
+
     /**
      * Guards against a start that hangs where only TCP and UDP are available: a proxy that connects to itself over
      * any other kind of socket waits for a connection that never opens, which prolongs the outage when all proxies
