--- a/review/stand-2/Settings.java
+++ b/review/stand-2/Settings.java
@@ -76,6 +76,16 @@
         return settings;
     }
 
+    /** These settings with another effect of one class, as on short days. */
+    Settings withEffectOf(String className, String effect) {
+        RequestClass[] changed = classes.stream()
+                .map(c -> !c.name.equals(className)
+                        ? c
+                        : new RequestClass(c.name, effect, c.targetMs, c.deadlineMs, c.windowMs, c.lateWorth, c.value))
+                .toArray(RequestClass[]::new);
+        return new Settings(tenants, changed);
+    }
+
     /** The class with this effect; the first, if there are several. */
     RequestClass withEffect(String effect) {
         return classes.stream().filter(c -> c.effect.equals(effect)).findFirst().orElseThrow();
