--- a/review/stand-2/CacheNode.java
+++ b/review/stand-2/CacheNode.java
@@ -43,12 +43,6 @@
                 socket.getOutputStream().flush();
             }
         }
-
-        /** Closes the connection with a reset. */
-        void reset() throws IOException {
-            socket.setSoLinger(true, 0);
-            socket.close();
-        }
     }
 
     final String id;
--- a/review/stand-2/Client.java
+++ b/review/stand-2/Client.java
@@ -27,21 +27,17 @@
         socket.setSoTimeout(Math.max(1, timeoutMs));
         String line = lines.line();
         if (line != null && line.startsWith("VA ")) {
-            return lines.block(Command.valueLength(line.replaceFirst("VA ", "VA - "))) == null ? null : line;
+            int length = Integer.parseInt(line.split(" ")[1]);
+            return lines.block(length) == null ? null : line;
         }
         return line;
     }
 
+    /** The command that reads a key. */
     static String read(Settings settings, String key, String id, String requestClass, int waitMs) {
         return "mg " + key + " v O" + id + " Pc=" + requestClass + ",t=" + settings.tenant + ",d=" + waitMs + "\r\n";
     }
 
-    static String write(
-            Settings settings, String key, String id, String requestClass, int waitMs, String value, String token) {
-        return "ms " + key + " " + value.length() + " O" + id + " Pc=" + requestClass + ",t=" + settings.tenant + ",d=" + waitMs
-                + (token == null ? "" : ",k=" + token) + "\r\n" + value + "\r\n";
-    }
-
     @Override
     public void close() throws IOException {
         socket.close();
--- a/review/stand-2/LongDeadlines.java
+++ b/review/stand-2/LongDeadlines.java
@@ -85,7 +85,6 @@
                 for (String answer = client.answer(30_000); answer != null; answer = client.answer(30_000)) {
                     Request request = unanswered.remove();
                     request.answer = answer;
-                    request.answeredMs = Recorder.nowMs();
                     recorder.line("%s is answered: %s", request.id, answer);
                 }
             } catch (SocketTimeoutException e) {
@@ -125,7 +124,8 @@
                 proxy.awaitExit(2000);
             }
             over = true;
-            recorder.line("the proxy %s %.0f ms after SIGTERM", exit < 0 ? "was killed" : "ended by itself", killMs - termMs);
+            String end = exit < 0 ? "was killed" : "ended by itself";
+            recorder.line("the proxy %s %.0f ms after SIGTERM", end, killMs - termMs);
             Thread.sleep(300);
             return judge(senders, termMs, killMs);
         }
--- a/review/stand-2/Registry.java
+++ b/review/stand-2/Registry.java
@@ -37,8 +37,6 @@
     private long version = 41;
     /** How long a call waits before its turn comes, in milliseconds. */
     volatile double turnMs;
-    /** Whether the open watches have fallen silent; those opened later are sound. */
-    volatile double silentSinceMs = Double.NaN;
 
     Registry(String name, Recorder recorder) throws IOException {
         this.name = name;
--- a/review/stand-2/Settings.java
+++ b/review/stand-2/Settings.java
@@ -114,10 +114,11 @@
                 + "\"reporting\":{\"source\":\"on_probe\",\"fields\":[\"eps\",\"util\",\"queue\"]},"
                 + "\"rules\":{\"graceToAnswerMs\":20.0,\"askWithinMs\":10000.0,\"coldFrom\":0.33,\"coldMs\":8700.0,"
                 + "\"drainGraceMs\":" + drainGraceMs + ".0,\"tipMultiple\":2.5,\"fallMs\":2000.0},"
-                + "\"deductions\":{\"crossZone\":0.01,\"waste\":0.065,\"probe\":0.01,\"peer\":0.0073,\"lateFail\":0.024},"
+                + "\"deductions\":{\"crossZone\":0.01,\"waste\":0.065,\"probe\":0.01,\"peer\":0.0073,"
+                + "\"lateFail\":0.024},"
                 + "\"scoreParts\":{\"whole\":0.35,\"worstWindow\":0.15,\"worstClass\":0.4,\"worstTenant\":0.1},"
-                + "\"grades\":[" + String.join(",", classes.stream().map(RequestClass::json).toList()) + "],\"tenants\":["
-                + tenantsJson() + "]}";
+                + "\"grades\":[" + String.join(",", classes.stream().map(RequestClass::json).toList()) + "],"
+                + "\"tenants\":[" + tenantsJson() + "]}";
     }
 
     /** The whole configuration of a proxy. */
