Before the exit nothing waits behind an invalid command

A caller's request that followed an invalid command within the last moments of a drain was read and got no answer before the process ended.

Cause: behind an invalid command nothing is decoded for 0.5 s, while the process exits 0.25 s after its last answers. The pauses that ran at that moment were ended, but a later invalid command began another one. From then on there are none.

The test of ClientCloseTest failed before.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -167,6 +167,7 @@
      * Answers an invalid command with an error line, and then decodes nothing for a while. Otherwise clients that
      * repeat an invalid command as soon as it is answered or the connection is closed, or that send 60 MB after one,
      * would take processor time from all others. If the framing is lost, the connection is closed after that time.
+     * Before the exit of the process there is no such pause, since what it holds up would get no answer.
      */
     private void handleFault(AnswerQueue.Slot slot, Command.Fault fault) {
         // A client that goes on with invalid commands could keep a connection open that is to be closed.
@@ -175,7 +176,9 @@
         if (framingLost) {
             closer.request(CloseReason.FRAMING);
         }
-        pauseAfterFault();
+        if (framingLost || !partialIgnored) {
+            pauseAfterFault();
+        }
         answer(slot, fault.line());
     }
 
--- a/src/test/java/holdproxy/net/ClientCloseTest.java
+++ b/src/test/java/holdproxy/net/ClientCloseTest.java
@@ -160,6 +160,26 @@
         }
     }
 
+    /** Guards against the loss of a request that waits behind an invalid one for longer than the process lives. */
+    @Test
+    void requestBehindAnInvalidOneIsNotHeldUpBeforeTheExit() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(1)) {
+            TestConnection client = fixture.openClient();
+            client.send(ProxyFixture.readCommand("a1", 4000));
+            TestConnection node = fixture.nodes.get(0).awaitConnection();
+            assertNotNull(node.readLine());
+            ClientSession session =
+                    fixture.loop.submit(() -> oldestSession(fixture)).get();
+            fixture.loop.submit(session::closeBeforeExit).sync();
+            client.send("bad\r\nmn\r\n");
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expectLines("VA 1 Oa1", "1");
+            assertTrue(client.readLine().contains("ERROR"));
+            assertTrue(fixture.loop.submit(session::isDecodable).get(), "what follows is held up");
+            client.expectLines("MN");
+        }
+    }
+
     @Test
     void requestThatFollowsTheEndOfAnIdleConnectionIsReset() throws Exception {
         try (ProxyFixture fixture = new ProxyFixture(1)) {
--- a/src/test/java/holdproxy/net/CloseSoakTest.java
+++ b/src/test/java/holdproxy/net/CloseSoakTest.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.LongStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -56,7 +55,6 @@
 
     @ParameterizedTest
     @MethodSource("seeds")
-    @Tag("known-red")
     void requestsAreAnsweredOrLeftUnreadWhateverEndsTheirConnection(long seed) throws Exception {
         random = new SplittableRandom(seed);
         int deadlineMs = List.of(400, 800, 1700, 3000).get(random.nextInt(4));
