First commands that do not end make room for new clients

Since a close leaves a session alone on which a part of a command has arrived, sessions that stop inside their first command kept new clients out until their time was over: with 40 of them a new client was refused. They are closed to make room if no quiet session is found; no request on them is complete.

BadClientsTest.floodOfIncompleteFirstCommandsKeepsNoNewClientOut failed before. Comment lines of at most 120 characters.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -121,7 +121,18 @@
                 return true;
             }
         }
-        return false;
+        return roomCandidates().limit(MAX_ROOM_CANDIDATES).toList().stream().anyMatch(this::abortIncompleteFirst);
+    }
+
+    /** Closes a session whose first command has arrived in part only; returns whether it was closed. */
+    private boolean abortIncompleteFirst(ClientSession session) {
+        session.readInput();
+        if (!newSessions.contains(session) || !session.isInPartialCommand()) {
+            return false;
+        }
+        session.abort(CloseReason.ROOM);
+        onClosed(session);
+        return true;
     }
 
     /** The sessions that may be closed to make room, in this order. */
@@ -297,8 +308,8 @@
     }
 
     /**
-     * Ends a session that has sent no valid command in time: at once if it has sent nothing, and after an answer to what
-     * it has sent otherwise.
+     * Ends a session that has sent no valid command in time: at once if it has sent nothing, and after an answer to
+     * what it has sent otherwise.
      */
     private void closeWithoutFirstCommand(ClientSession session, long now) {
         closeIfQuiet(session, CloseReason.NO_FIRST_COMMAND);
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -410,8 +410,8 @@
     }
 
     /**
-     * Closes the connection if no request has arrived on it. Returns whether it is being closed. Answers that the client
-     * has not read for long do not keep the connection open.
+     * Closes the connection if no request has arrived on it. Returns whether it is being closed. Answers that the
+     * client has not read for long do not keep the connection open.
      *
      * @param withLinger whether the last answers are given the time to reach the client
      */
--- a/src/main/java/holdproxy/net/GracefulClose.java
+++ b/src/main/java/holdproxy/net/GracefulClose.java
@@ -8,9 +8,9 @@
 
 /**
  * Ends a client connection so that no request on it is read and left without an answer. Whether something is left to
- * answer is checked at the moment of the close, after another read of the socket: what an earlier pass of the event loop
- * found may be outdated, since the process may have been held up. After that read nothing more is read. If a request has
- * arrived nevertheless, the kernel resets the connection, and the client may send the request again.
+ * answer is checked at the moment of the close, after another read of the socket: what an earlier pass of the event
+ * loop found may be outdated, since the process may have been held up. After that read nothing more is read. If a
+ * request has arrived nevertheless, the kernel resets the connection, and the client may send the request again.
  */
 final class GracefulClose {
     /** How often the socket is read in a row while requests arrive that are answered at once. */
@@ -134,8 +134,9 @@
     }
 
     /**
-     * Closes the connection if nothing is owed and no input has arrived. Returns whether it is being closed, by the proxy
-     * or the client; if not, the input that has arrived was processed. Must be called in a task, unless {@code withLinger} is false.
+     * Closes the connection if nothing is owed and no input has arrived. Returns whether it is being closed, by the
+     * proxy or the client; if not, the input that has arrived was processed. Must be called in a task, unless {@code
+     * withLinger} is false.
      *
      * @param withLinger whether the last answers are given the time to reach the client
      */
--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -97,6 +97,20 @@
         }
     }
 
+    /** Guards against a flood of first commands that do not end: new clients would be refused for seconds. */
+    @Test
+    void floodOfIncompleteFirstCommandsKeepsNoNewClientOut() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(1, s -> s, 128)) { // 40 of the 128 descriptors are for clients
+            TestConnection first = fixture.openClient();
+            first.send("mg 7f3a");
+            for (int i = 0; i < 39; i++) {
+                fixture.openClient().send("mg 7f3a");
+            }
+            expectServed(fixture, fixture.openClient(), "a1");
+            first.expectEnd();
+        }
+    }
+
     /**
      * Guards against a shortage of connections: clients that send one command and stay connected, of which few send
      * another, would take up all connections that clients may open.
