What waits behind repeated invalid commands is answered before the close

A client that had sent no valid command for 2 s and then an invalid one lost the requests behind it: they were read, and discarded as if the framing were lost. Now nothing more is read from such a client, and what has been read is decoded without further pauses and answered.

ClientCloseTest.requestBehindInvalidOnesIsAnsweredWhenTheTimeForAFirstOneIsOver failed before. ignoringInput says the same as framingLost now and is gone.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -50,11 +50,9 @@
     private final InputThrottle throttle;
     private final GracefulClose closer;
     private Channel channel;
-    /** Decoded input is ignored, because the framing is lost. */
-    private boolean ignoringInput;
     /** The connection exceeds the limit, so its requests are refused. */
     private boolean refusingRequests;
-    /** Nothing more is read from the socket, since a command did not end in time. */
+    /** Nothing more is read from the socket, since a command did not end or none was valid in time. */
     private boolean inputEnded;
     /** Commands of the current read may still be in the decoder. */
     private boolean inRead;
@@ -120,7 +118,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
-        if (ignoringInput) {
+        if (framingLost) {
             return; // what follows an error in the framing are no commands
         }
         inRead = true;
@@ -170,11 +168,11 @@
      * Before the exit of the process there is no such pause, since what it holds up would get no answer.
      */
     private void handleFault(AnswerQueue.Slot slot, Command.Fault fault) {
-        // A client that goes on with invalid commands could keep a connection open that is to be closed.
-        framingLost |= fault.framingLost() || closer.reason() == CloseReason.NO_FIRST_COMMAND;
-        ignoringInput |= framingLost;
-        if (framingLost) {
+        if (fault.framingLost()) {
+            framingLost = true;
             closer.request(CloseReason.FRAMING);
+        } else if (closer.reason() == CloseReason.NO_FIRST_COMMAND) {
+            endInput(); // a client that goes on with invalid commands could keep the connection open
         }
         if (framingLost || !partialIgnored) {
             pauseAfterFault();
@@ -202,15 +200,20 @@
     void failPartialCommand(String line) {
         AnswerQueue.Slot slot = answers.add();
         closer.request(CloseReason.INCOMPLETE_COMMAND);
+        endInput();
+        answer(slot, line);
+    }
+
+    /** Reads nothing any more, and waits for no rest of a command. What has been read is answered. */
+    private void endInput() {
         partialIgnored = true;
         inputEnded = true;
         throttle.apply();
-        answer(slot, line);
     }
 
     /** Whether a command has arrived in part, and the rest of it is waited for. */
     boolean isInPartialCommand() {
-        return !ignoringInput && !decoder.isHeld() && decoder.hasPartialMessage();
+        return !framingLost && !decoder.isHeld() && decoder.hasPartialMessage();
     }
 
     /** Reads what has arrived since the socket was last read. */
@@ -436,10 +439,7 @@
 
     /** Whether no command is left to read or to decode, of those that the close waits for. */
     private boolean hasReadEverything() {
-        if (inputEnded) {
-            return true;
-        }
-        if (throttle.mayHaveUnreadInput()) {
+        if (!inputEnded && throttle.mayHaveUnreadInput()) {
             return false;
         }
         return !decoder.hasPartialMessage() || partialIgnored && !decoder.isHeld();
--- a/src/test/java/holdproxy/net/ClientCloseTest.java
+++ b/src/test/java/holdproxy/net/ClientCloseTest.java
@@ -160,6 +160,25 @@
         }
     }
 
+    /** Guards against the loss of a request behind several invalid ones, after which nothing more is read. */
+    @Test
+    void requestBehindInvalidOnesIsAnsweredWhenTheTimeForAFirstOneIsOver() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(1)) {
+            TestConnection client = fixture.openClient();
+            client.send("bad\r\nbad\r\n" + ProxyFixture.readCommand("a1", 4000));
+            assertTrue(client.readLine().contains("ERROR"));
+            fixture.loop
+                    .submit(() -> {
+                        oldestSession(fixture).openedUs -= LONG_AGO_US;
+                        fixture.proxy.admission.sweep();
+                    })
+                    .sync();
+            assertTrue(client.readLine().contains("ERROR"));
+            expectServed(fixture, client, "a1");
+            client.expectEnd();
+        }
+    }
+
     /** Guards against the loss of a request that waits behind an invalid one for longer than the process lives. */
     @Test
     void requestBehindAnInvalidOneIsNotHeldUpBeforeTheExit() throws Exception {
--- a/src/test/java/holdproxy/net/CloseSoakTest.java
+++ b/src/test/java/holdproxy/net/CloseSoakTest.java
@@ -99,8 +99,14 @@
         }
     }
 
-    /** Sends SIGTERM, twice in some runs, has the clients send around the closes, and kills at the earliest time. */
+    /**
+     * Has some nodes hang in some runs, sends SIGTERM, twice in some, has the clients send around the closes, and kills
+     * at the earliest time.
+     */
     private void endProxy() throws IOException, InterruptedException {
+        if (random.nextBoolean()) {
+            proxy.nodes.subList(0, NODES / 2).forEach(ServingNode::hang);
+        }
         sigtermNanos = System.nanoTime();
         proxy.signal("TERM");
         for (RestingClient client : clients) {
