A request on a connection far beyond the limit is refused, not shut out unread

Callers whose connection was accepted after a pause, while too many were open, saw it end with no answer to a request that they had sent long before.

Cause: beyond the limit and 8 connections more, the proxy closed a connection as soon as it was accepted. It reads what has arrived now, answers `busy`, and closes at once, so that no descriptor is held for longer.

ClientCloseTest.requestsOnConnectionsFarBeyondTheLimitAreRefused, 20 new clients in one pause, failed before.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -101,7 +101,7 @@
             session.refuseRequests();
             if (sessions.size() > maxSessions + MAX_REFUSED) {
                 // Without this limit no file descriptors would be left, not even for connections to nodes.
-                session.abort(CloseReason.LIMIT);
+                session.refuseAndClose();
                 return;
             }
         }
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -116,6 +116,14 @@
         refusingRequests = true;
     }
 
+    /** Refuses what has arrived on a connection that has just been accepted, and closes it at once. */
+    void refuseAndClose() {
+        readInput();
+        if (!closeIfQuiet(CloseReason.LIMIT, false)) {
+            abort(CloseReason.LIMIT);
+        }
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
         if (framingLost) {
--- a/src/test/java/holdproxy/net/ClientCloseTest.java
+++ b/src/test/java/holdproxy/net/ClientCloseTest.java
@@ -24,6 +24,8 @@
 
     private static final int MAX_CLIENTS = 40;
     private static final int MAX_ESTABLISHED = 32;
+    /** More clients beyond the limit than may stay until they have sent a request. */
+    private static final int EXCESS_CLIENTS = 20;
 
     /** Runs a close on the event loop right behind a pause, before what a client sends meanwhile has been read. */
     private static void closeUnreadInput(ProxyFixture fixture, TestConnection client, String input, Runnable close)
@@ -129,6 +131,30 @@
         }
     }
 
+    /** Guards against closes right after the accept, where the request has arrived during a pause. */
+    @Test
+    void requestsOnConnectionsFarBeyondTheLimitAreRefused() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture(1, s -> s, FEW_DESCRIPTORS)) {
+            for (int i = 0; i < MAX_CLIENTS; i++) {
+                TestConnection client = fixture.openClient();
+                client.send("mn\r\nmg 7f3a"); // with half a command, so that it is not closed to make room
+                client.expectLines("MN");
+            }
+            LoopPause pause = LoopPause.begin(fixture);
+            List<TestConnection> excess = new ArrayList<>();
+            for (int i = 0; i < EXCESS_CLIENTS; i++) {
+                TestConnection client = fixture.openClient();
+                client.send(ProxyFixture.readCommand("a" + i, 4000));
+                excess.add(client);
+            }
+            pause.resume();
+            for (TestConnection client : excess) {
+                assertEquals("SERVER_ERROR busy 500", client.readLine());
+                client.expectEnd();
+            }
+        }
+    }
+
     /** Guards against the loss of a request that was read and waits, undecoded, behind an invalid command. */
     @Test
     void requestBehindAnInvalidOneIsAnsweredWhenTheTimeForAFirstOneIsOver() throws Exception {
