The stand-in of discovery listens on an address of its own

While the stand-in plays an outage it does not listen, and the kernel gave its port, one of those for outgoing connections, to another process, as all used 127.0.0.1.

--- a/src/scale/java/holdproxy/scale/real/StandInDiscovery.java
+++ b/src/scale/java/holdproxy/scale/real/StandInDiscovery.java
@@ -36,6 +36,7 @@
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
@@ -48,6 +49,7 @@
  * loop; the methods for other threads run their work on it and wait for the result.
  */
 final class StandInDiscovery implements AutoCloseable {
+    private static final String COMMON_ADDRESS = "127.0.0.1";
     private static final String PATH = "/registry/instances";
     private static final long EMPTY_LINE_INTERVAL_MS = 2000;
     private static final int ACCEPT_BACKLOG = 256;
@@ -117,17 +119,26 @@
     /**
      * Opens a further address of the service.
      *
-     * @param port port to listen on, or 0 for any free port
+     * @param port port to listen on at 127.0.0.1, or 0 for any free port of a loopback address of its own
      * @param onWritten called on the event loop when a version was written to a connection
      * @throws ScaleException if the port cannot be bound
      */
     Endpoint openEndpoint(int port, BiConsumer<Endpoint, NodeList.Version> onWritten) {
         Endpoint endpoint = new Endpoint(onWritten);
-        endpoint.listen(new InetSocketAddress("127.0.0.1", port));
+        endpoint.listen(new InetSocketAddress(port == 0 ? ownAddress() : COMMON_ADDRESS, port));
         runOnLoop(() -> endpoints.add(endpoint));
         return endpoint;
     }
 
+    /**
+     * Draws a loopback address. The kernel uses another one for outgoing connections, so that none of them takes the
+     * port while the service does not listen.
+     */
+    private static String ownAddress() {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        return "127." + random.nextInt(16, 216) + "." + random.nextInt(256) + "." + random.nextInt(1, 255);
+    }
+
     /** The list that this service serves. */
     NodeList list() {
         return list;
