Nothing waits behind an invalid command on a connection that comes late either

Callers in a crowd lost a request behind an invalid command on a connection that was accepted after the last answers of a drain: it was read, held up for 0.5 s, and the process ended before.

Cause: the end of such pauses was a property of the sessions that were open at that moment. While clients connect again at once, the accept queue is not empty and further sessions begin. Whether there is a pause is asked of the drain now.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -182,7 +182,7 @@
         } else if (closer.reason() == CloseReason.NO_FIRST_COMMAND) {
             endInput(); // a client that goes on with invalid commands could keep the connection open
         }
-        if (framingLost || !partialIgnored) {
+        if (framingLost || !partialIgnored && !proxy.isAboutToExit()) {
             pauseAfterFault();
         }
         answer(slot, fault.line());
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -356,7 +356,7 @@
             session.answer(slot, "CLIENT_ERROR the id is in use");
             return;
         }
-        if (drain.refusesRequests(now)
+        if (isAboutToExit()
                 || exchanges.size() >= Math.min(MAX_OPEN_REQUESTS, config.settings.maxOpenRequests)
                 || openValueBytes + command.valueBytes() > MAX_OPEN_VALUE_BYTES) {
             session.answer(slot, busyAnswer());
@@ -386,6 +386,11 @@
         });
     }
 
+    /** Whether the last answers have been given, so that requests are refused until the process exits. */
+    boolean isAboutToExit() {
+        return drain.refusesRequests(now());
+    }
+
     /**
      * Whether another request has or had the id of this one. Clients use a new id for every request. With a duplicate,
      * a client could get the answer to another client's request, or a request could run twice. It must not be refused
--- a/src/test/java/holdproxy/net/ClientCloseTest.java
+++ b/src/test/java/holdproxy/net/ClientCloseTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -22,6 +23,9 @@
     /** With this limit on descriptors 40 are for clients, 32 of them for clients that have sent a command. */
     private static final int FEW_DESCRIPTORS = 128;
 
+    /** Longer than a drain takes, in milliseconds. */
+    private static final long LONG_ACCEPT_MS = 60_000;
+
     private static final int MAX_CLIENTS = 40;
     private static final int MAX_ESTABLISHED = 32;
     /** More clients beyond the limit than may stay until they have sent a request. */
@@ -225,6 +229,31 @@
         }
     }
 
+    /** Guards against the same loss on a connection that was accepted when the last answers had been given already. */
+    @Test
+    void requestBehindAnInvalidOneIsNotHeldUpOnALateConnection() throws Exception {
+        try (ProxyFixture fixture =
+                new ProxyFixture(1, s -> s.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":100.0"), 1024)) {
+            Thread drain = new Thread(() -> fixture.proxy.drain(LONG_ACCEPT_MS), "drain");
+            drain.setDaemon(true);
+            drain.start();
+            while (drain.getState() != Thread.State.TIMED_WAITING) {
+                Thread.onSpinWait(); // the thread waits only after it has queued its task on the event loop
+            }
+            // The last answers are due 0.25 s before the end of the drain, which takes the deadline and 0.6 s.
+            fixture.loop.schedule(() -> {}, 500, TimeUnit.MILLISECONDS).get();
+            TestConnection client = fixture.openClient();
+            client.send("bad\r\nmn\r\n");
+            assertTrue(client.readLine().contains("ERROR"));
+            assertTrue(
+                    fixture.loop
+                            .submit(() -> oldestSession(fixture).isDecodable())
+                            .get(),
+                    "what follows is held up");
+            client.expectLines("MN");
+        }
+    }
+
     @Test
     void requestThatFollowsTheEndOfAnIdleConnectionIsReset() throws Exception {
         try (ProxyFixture fixture = new ProxyFixture(1)) {
